--- /dev/null
+++ b/src/agent/core.rs
@@ -0,0 +1,637 @@
+//! The agent's core: takes the time and an event, returns effects; no I/O.
+//!
+//! A gang is prepared on all members before any of it starts, and released on all as soon as one
+//! member is lost. Its leases end by themselves when the agent dies. A grant of an earlier start of
+//! the agent is refused, so a job gets at most one dispatch for each grant.
+
+mod collect;
+mod lease;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::agent::answers;
+use crate::agent::gang::{Ending, Gang, Stage};
+use crate::error;
+use crate::ledger;
+use crate::map;
+use crate::platform::{self, Op, Outcomes, Verb, client};
+use crate::raft::Index;
+use crate::sched::JobId;
+use crate::sched::event;
+use crate::sched::fleet;
+use crate::wire::frame;
+
+/// Term of a lease on a worker.
+pub const LEASE_MS: u64 = 5_000;
+
+/// Interval of renewals.
+const RENEW_MS: u64 = 1_500;
+
+/// Margin for clocks that run at different speeds.
+const DRIFT_MS: u64 = 500;
+
+/// Silence after which a target counts as gone.
+const TARGET_SILENCE_MS: u64 = 2_000;
+
+/// Largest answer that is made durable in the ledger.
+const INLINE_BYTES: usize = 16 << 10;
+
+/// Interval after which an unacknowledged finish is sent again.
+const RESEND_MS: u64 = 1_000;
+
+/// Settings of the core.
+#[derive(Clone, Debug)]
+pub struct Options {
+    pub name: String,
+    pub incarnation: u64,
+    pub answers: answers::Limits,
+}
+
+/// What the core is told.
+#[derive(Debug)]
+pub enum Event {
+    /// All grants of this agent, as of an index of the log.
+    Grants {
+        index: Index,
+        grants: Vec<frame::Grant>,
+    },
+    /// The answer to lease operations, in their order.
+    Leased {
+        worker: fleet::Key,
+        ops: Vec<Op>,
+        result: platform::Result<Outcomes>,
+    },
+    /// The outcome of a dispatch.
+    Answered {
+        job: JobId,
+        attempt: u32,
+        result: platform::Result<client::Reply>,
+    },
+    /// Someone wants a part of an answer; the tag names it.
+    Collect {
+        tag: u64,
+        job: JobId,
+        attempt: u32,
+        offset: u64,
+        wait_ms: u64,
+    },
+    /// The target has announced itself.
+    Target(platform::TargetNews),
+    /// The leader has recorded a finish.
+    Acknowledged {
+        job: JobId,
+        attempt: u32,
+    },
+    /// Takes no new grants from now on.
+    Drain,
+    Tick,
+}
+
+/// Lease operations for one worker, sent in one message.
+#[derive(Debug)]
+pub struct Order {
+    pub worker: fleet::Key,
+    pub addr: SocketAddr,
+    pub ops: Vec<Op>,
+}
+
+/// What the core wants done.
+#[derive(Debug)]
+pub enum Effect {
+    Lease(Order),
+    Dispatch(client::Dispatch),
+    Finish(frame::Finish),
+    /// Answers a `Collect` by its tag.
+    Reply {
+        tag: u64,
+        frame: frame::Frame,
+    },
+}
+
+#[derive(Debug)]
+struct Target {
+    news: platform::TargetNews,
+    heard_ms: u64,
+}
+
+#[derive(Debug)]
+struct Finished {
+    finish: frame::Finish,
+    sent_ms: u64,
+}
+
+/// The agent's core.
+#[derive(Debug)]
+pub struct Core {
+    options: Options,
+    now: u64,
+    seen: Index,
+    gangs: BTreeMap<JobId, Gang>,
+    finished: BTreeMap<(JobId, u32), Finished>,
+    answers: answers::Answers,
+    target: Option<Target>,
+    /// Requests that the target is working on, stopped gangs' included.
+    dispatched: map::Set<(JobId, u32)>,
+    waiters: Vec<collect::Waiter>,
+    renewed_ms: u64,
+    draining: bool,
+    out: Vec<Effect>,
+}
+
+impl Core {
+    /// Makes a core that has just started.
+    pub fn new(options: Options) -> Self {
+        Self {
+            answers: answers::Answers::new(options.answers),
+            options,
+            now: 0,
+            seen: 0,
+            gangs: BTreeMap::new(),
+            finished: BTreeMap::new(),
+            target: None,
+            dispatched: map::Set::default(),
+            waiters: Vec::new(),
+            renewed_ms: 0,
+            draining: false,
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes an event.
+    pub fn step(&mut self, now: u64, event: Event) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        match event {
+            Event::Grants { index, grants } => self.on_grants(index, grants),
+            Event::Leased {
+                worker,
+                ops,
+                result,
+            } => self.on_leased(worker, &ops, &result),
+            Event::Answered {
+                job,
+                attempt,
+                result,
+            } => self.on_answered(job, attempt, result),
+            Event::Collect {
+                tag,
+                job,
+                attempt,
+                offset,
+                wait_ms,
+            } => {
+                self.on_collect(tag, job, attempt, offset, wait_ms);
+            }
+            Event::Target(news) => self.on_target(news),
+            Event::Acknowledged { job, attempt } => {
+                self.finished.remove(&(job, attempt));
+            }
+            Event::Drain => self.draining = true,
+            Event::Tick => self.on_tick(),
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Gangs held, with their attempts, for the leader; finished ones until it knows.
+    pub fn jobs(&self) -> Vec<(JobId, u32)> {
+        let held = self
+            .gangs
+            .iter()
+            .map(|(job, gang)| (*job, gang.grant.attempt));
+        held.chain(self.finished.keys().copied()).collect()
+    }
+
+    /// Number of gangs held.
+    pub fn gang_count(&self) -> usize {
+        self.gangs.len()
+    }
+
+    /// Bytes of answers kept.
+    pub fn answer_bytes(&self) -> usize {
+        self.answers.bytes()
+    }
+
+    /// Whether nothing is in progress: no gang, no finish to tell, no answer to collect.
+    pub fn is_idle(&self) -> bool {
+        self.gangs.is_empty() && self.finished.is_empty() && self.answers.all_collected()
+    }
+
+    /// The target as the leader should see it.
+    pub fn target(&self) -> Option<frame::Target> {
+        let target = self.target.as_ref()?;
+        let silent = self.now >= target.heard_ms + TARGET_SILENCE_MS;
+        let busy = self.dispatched.iter().filter(|(job, attempt)| {
+            self.gangs
+                .get(job)
+                .is_none_or(|gang| gang.grant.attempt != *attempt)
+        });
+        // Requests of gangs that were stopped still take a slot of the target.
+        let slots = target.news.slots.saturating_sub(busy.count() as u32);
+        Some(frame::Target {
+            name: target.news.name.clone(),
+            services: target.news.services.clone(),
+            slots,
+            connections: target.news.connections,
+            ready: target.news.ready && !target.news.leaving && !silent && !self.draining,
+        })
+    }
+
+    fn on_target(&mut self, news: platform::TargetNews) {
+        self.target = Some(Target {
+            news,
+            heard_ms: self.now,
+        });
+        self.admit_queued();
+    }
+
+    fn accepts_work(&self) -> bool {
+        self.target().is_some_and(|target| target.ready)
+    }
+
+    fn on_grants(&mut self, index: Index, grants: Vec<frame::Grant>) {
+        if index < self.seen {
+            // A member that is behind; it would bring back grants that have ended.
+            return;
+        }
+        self.seen = index;
+        let mut named: map::Map<JobId, Index> = map::Map::default();
+        for grant in grants {
+            named.insert(grant.job, grant.token);
+            self.on_grant(grant);
+        }
+        let withdrawn: Vec<JobId> = self
+            .gangs
+            .iter()
+            .filter(|(job, gang)| {
+                gang.grant.token <= index && named.get(job) != Some(&gang.grant.token)
+            })
+            .map(|(job, _gang)| *job)
+            .collect();
+        for job in withdrawn {
+            self.withdraw(job);
+        }
+    }
+
+    fn on_grant(&mut self, grant: frame::Grant) {
+        if grant.incarnation != self.options.incarnation {
+            return;
+        }
+        let key = (grant.job, grant.attempt);
+        if self.finished.contains_key(&key) {
+            return;
+        }
+        match self.gangs.get(&grant.job).map(|gang| gang.grant.token) {
+            Some(token) if token == grant.token => self.follow_orders(&grant),
+            Some(token) if token > grant.token => {}
+            Some(_older) => self.replace(grant),
+            None => self.accept(grant),
+        }
+    }
+
+    fn accept(&mut self, grant: frame::Grant) {
+        if grant.stop.is_some() || !self.accepts_work() {
+            let cause = grant.stop.map(|stop| stop.cause);
+            self.refuse(grant, cause);
+            return;
+        }
+        let job = grant.job;
+        self.gangs.insert(job, Gang::new(self.now, grant));
+        self.admit_queued();
+    }
+
+    /// Confirms that a grant will never run here.
+    fn refuse(&mut self, grant: frame::Grant, cause: Option<event::Cause>) {
+        let job = grant.job;
+        let (end, kind, detail) = match cause {
+            Some(_) => (
+                event::End::Stopped { ran: false },
+                error::Kind::Cancelled,
+                "not started",
+            ),
+            None => (
+                event::End::Lost {
+                    worker: None,
+                    ran: false,
+                },
+                error::Kind::NoTarget,
+                "the target takes no new work",
+            ),
+        };
+        let mut gang = Gang::new(self.now, grant);
+        gang.ending = Some(Ending {
+            end,
+            kind: Some(kind),
+            ran: error::Ran::No,
+            detail: detail.to_owned(),
+            answer: None,
+            ended_ms: self.now,
+        });
+        self.gangs.insert(job, gang);
+        self.finish(job);
+    }
+
+    /// Starts queued gangs while the target has free slots.
+    fn admit_queued(&mut self) {
+        let Some(target) = &self.target else { return };
+        let slots = target.news.slots as usize;
+        loop {
+            let active = self.gangs.values().filter(|gang| gang.is_active()).count();
+            // Requests of gangs that have ended may still be with the target.
+            let ended = self.dispatched.iter().filter(|(job, attempt)| {
+                let gang = self
+                    .gangs
+                    .get(job)
+                    .filter(|gang| gang.grant.attempt == *attempt);
+                gang.is_none_or(|gang| !gang.is_active())
+            });
+            if active + ended.count() >= slots {
+                return;
+            }
+            let queued = self
+                .gangs
+                .iter()
+                .find(|(_job, gang)| gang.stage == Stage::Queued);
+            let Some(job) = queued.map(|(job, _gang)| *job) else {
+                return;
+            };
+            self.prepare(job);
+        }
+    }
+
+    /// Takes over orders that came after the grant.
+    fn follow_orders(&mut self, grant: &frame::Grant) {
+        let Some(gang) = self.gangs.get_mut(&grant.job) else {
+            return;
+        };
+        if gang.ending.is_some() {
+            return;
+        }
+        if grant.throttled && !gang.throttled {
+            gang.throttled = true;
+            self.order(grant.job, Verb::Throttle);
+        }
+        if let Some(stop) = grant.stop {
+            self.stop(grant.job, stop);
+        }
+    }
+
+    /// Throttles and checkpoints at once, stops at the end of the grace.
+    fn stop(&mut self, job: JobId, stop: ledger::Stop) {
+        let now = self.now;
+        let Some(gang) = self.gangs.get_mut(&job) else {
+            return;
+        };
+        let wanted = now + stop.grace_ms;
+        let first = gang.stop_ms.is_none();
+        gang.stop_ms = Some(gang.stop_ms.map_or(wanted, |due| due.min(wanted)));
+        let running = gang.stage == Stage::Running;
+        if !running || stop.grace_ms == 0 {
+            self.end_stopped(job);
+        } else if first {
+            self.order(job, Verb::Throttle);
+            self.order(job, Verb::Checkpoint);
+        }
+    }
+
+    fn end_stopped(&mut self, job: JobId) {
+        let Some(gang) = self.gangs.get(&job) else {
+            return;
+        };
+        let ran = gang.ran();
+        let end = event::End::Stopped {
+            ran: ran != error::Ran::No,
+        };
+        self.end(
+            job,
+            end,
+            Some(error::Kind::Stopped),
+            ran,
+            "stopped on request".to_owned(),
+        );
+    }
+
+    /// Ends a gang that the leader has given to somebody else or ended.
+    fn withdraw(&mut self, job: JobId) {
+        if let Some(gang) = self.gangs.get_mut(&job) {
+            gang.silent = true;
+        }
+        let end = event::End::Stopped { ran: true };
+        let detail = "the grant was withdrawn".to_owned();
+        self.end(
+            job,
+            end,
+            Some(error::Kind::Stopped),
+            error::Ran::Unknown,
+            detail,
+        );
+    }
+
+    /// Takes a later grant of the same job as soon as the earlier one is released.
+    fn replace(&mut self, grant: frame::Grant) {
+        let job = grant.job;
+        if let Some(gang) = self.gangs.get_mut(&job) {
+            gang.next = Some(grant);
+        }
+        self.withdraw(job);
+    }
+
+    /// Begins to give the leases back; what is told is fixed now.
+    fn end(
+        &mut self,
+        job: JobId,
+        end: event::End,
+        kind: Option<error::Kind>,
+        ran: error::Ran,
+        detail: String,
+    ) {
+        let now = self.now;
+        let Some(gang) = self.gangs.get_mut(&job) else {
+            return;
+        };
+        if gang.ending.is_some() {
+            return;
+        }
+        gang.ending = Some(Ending {
+            end,
+            kind,
+            ran,
+            detail,
+            answer: None,
+            ended_ms: now,
+        });
+        self.release(job);
+    }
+
+    fn on_answered(&mut self, job: JobId, attempt: u32, result: platform::Result<client::Reply>) {
+        self.dispatched.remove(&(job, attempt));
+        let current = self
+            .gangs
+            .get(&job)
+            .is_some_and(|gang| gang.grant.attempt == attempt && gang.ending.is_none());
+        if current {
+            match result {
+                Ok(reply) if reply.status < 500 => self.answered(job, attempt, reply),
+                Ok(reply) => self.target_failed(job, &reply),
+                Err(err) => self.dispatch_failed(job, &err),
+            }
+        }
+        self.admit_queued();
+    }
+
+    fn answered(&mut self, job: JobId, attempt: u32, reply: client::Reply) {
+        let (status, content_type) = (reply.status, reply.content_type.clone());
+        let length = reply.body.len() as u64;
+        let checksum = self.answers.keep(self.now, job, attempt, reply);
+        let Some(gang) = self.gangs.get(&job) else {
+            return;
+        };
+        let inline = if gang.grant.repeatable {
+            None
+        } else {
+            self.answers.small(job, attempt, INLINE_BYTES)
+        };
+        let agent = self.options.name.clone();
+        let answer = ledger::Answer {
+            agent,
+            attempt,
+            status,
+            content_type,
+            length,
+            checksum,
+            inline,
+        };
+        self.end(job, event::End::Done, None, error::Ran::Yes, String::new());
+        if let Some(ending) = self
+            .gangs
+            .get_mut(&job)
+            .and_then(|gang| gang.ending.as_mut())
+        {
+            ending.answer = Some(answer);
+        }
+        self.serve_waiters();
+    }
+
+    fn target_failed(&mut self, job: JobId, reply: &client::Reply) {
+        let end = event::End::Failed {
+            worker: None,
+            ran: true,
+        };
+        let detail = format!("the target answered with status {}", reply.status);
+        self.end(
+            job,
+            end,
+            Some(error::Kind::TargetFailed),
+            error::Ran::Yes,
+            detail,
+        );
+    }
+
+    fn dispatch_failed(&mut self, job: JobId, err: &error::Error) {
+        // Tasks have started by now, so the job counts as run unless nothing reached the target.
+        let end = match err.kind {
+            error::Kind::Unreachable => event::End::Lost {
+                worker: None,
+                ran: true,
+            },
+            _ => event::End::Failed {
+                worker: None,
+                ran: true,
+            },
+        };
+        let ran = if err.ran == error::Ran::No {
+            error::Ran::Unknown
+        } else {
+            err.ran
+        };
+        self.end(job, end, Some(err.kind), ran, err.detail.clone());
+    }
+
+    fn on_tick(&mut self) {
+        self.stop_due();
+        self.renew();
+        self.expire_leases();
+        self.answers.expire(self.now);
+        self.serve_waiters();
+        self.resend();
+        self.admit_queued();
+    }
+
+    fn stop_due(&mut self) {
+        let due = |gang: &Gang| {
+            gang.ending.is_none() && gang.stop_ms.is_some_and(|stop_ms| stop_ms <= self.now)
+        };
+        let jobs: Vec<JobId> = self
+            .gangs
+            .iter()
+            .filter(|(_job, gang)| due(gang))
+            .map(|(job, _gang)| *job)
+            .collect();
+        for job in jobs {
+            self.end_stopped(job);
+        }
+        let late = |gang: &Gang| {
+            gang.ending.is_none() && gang.stage == Stage::Queued && gang.deadline_ms <= self.now
+        };
+        let jobs: Vec<JobId> = self
+            .gangs
+            .iter()
+            .filter(|(_job, gang)| late(gang))
+            .map(|(job, _gang)| *job)
+            .collect();
+        for job in jobs {
+            let end = event::End::Lost {
+                worker: None,
+                ran: false,
+            };
+            let detail = "the deadline passed before the gang could start".to_owned();
+            self.end(
+                job,
+                end,
+                Some(error::Kind::Deadline),
+                error::Ran::No,
+                detail,
+            );
+        }
+    }
+
+    /// Tells the leader once all leases are given back.
+    fn finish(&mut self, job: JobId) {
+        let Some(gang) = self.gangs.remove(&job) else {
+            return;
+        };
+        if let Some(next) = gang.next {
+            self.on_grant(next);
+        }
+        let (Some(ending), false) = (gang.ending, gang.silent) else {
+            return;
+        };
+        let attempt = gang.grant.attempt;
+        let finish = frame::Finish {
+            agent: self.options.name.clone(),
+            incarnation: self.options.incarnation,
+            job,
+            attempt,
+            end: ending.end,
+            ran: ending.ran,
+            kind: ending.kind,
+            detail: ending.detail,
+            run_ms: ending.ended_ms.saturating_sub(gang.started_ms),
+            answer: ending.answer,
+        };
+        self.out.push(Effect::Finish(finish.clone()));
+        let sent_ms = self.now;
+        self.finished
+            .insert((job, attempt), Finished { finish, sent_ms });
+        self.serve_waiters();
+    }
+
+    fn resend(&mut self) {
+        let now = self.now;
+        for finished in self.finished.values_mut() {
+            if now >= finished.sent_ms + RESEND_MS {
+                finished.sent_ms = now;
+                self.out.push(Effect::Finish(finished.finish.clone()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/oriolereel-agent.rs
@@ -0,0 +1,26 @@
+//! An agent: runs beside one target, holds its gangs' leases and keeps its answers.
+
+use std::time::Duration;
+
+use anyhow::Context;
+use clap::Parser;
+use oriolereel::agent::daemon;
+use oriolereel::{settings, telemetry};
+
+/// Runs an agent in the slot beside one target.
+#[derive(Parser)]
+#[command(version)]
+struct Args {
+    #[command(flatten)]
+    settings: settings::Agent,
+}
+
+fn main() -> anyhow::Result<()> {
+    let args = Args::parse().settings;
+    telemetry::init("agent", &args.common.name, &args.common.log);
+    let agent = daemon::start(&args.options()).context("the agent cannot start")?;
+    settings::wait_for_signal(|| true);
+    let drained = agent.stop(Duration::from_secs(args.common.grace_s));
+    log::info!(drained = u64::from(drained); "agent stopped");
+    Ok(())
+}
--- /dev/null
+++ b/src/config/parse.rs
@@ -0,0 +1,472 @@
+//! Reads configuration files, collecting every fault with file, line and field.
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+use std::path::Path;
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::config::{self, check};
+use crate::error;
+
+/// One file of a configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Source {
+    /// Name used in messages.
+    pub name: String,
+    pub text: String,
+}
+
+/// Something wrong in a file.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fault {
+    pub file: String,
+    /// Line from 1 on.
+    pub line: usize,
+    /// Path of the field, such as `account.rossi.weight`.
+    pub field: String,
+    pub detail: String,
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "{}:{}: {}: {}",
+            self.file, self.line, self.field, self.detail
+        )
+    }
+}
+
+/// Result of parsing: a configuration, or every fault that was found.
+pub type Result<T> = std::result::Result<T, Vec<Fault>>;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    generation: Option<toml::Spanned<u64>>,
+    weights: Option<toml::Spanned<toml::Table>>,
+    #[serde(default)]
+    account: Vec<toml::Spanned<toml::Table>>,
+    #[serde(default)]
+    service: Vec<toml::Spanned<toml::Table>>,
+    #[serde(default)]
+    rack: Vec<toml::Spanned<toml::Table>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Weights {
+    completion: u32,
+    fragmentation: u32,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Shape {
+    count: u32,
+    #[serde(default = "one")]
+    workers: u32,
+    accelerators: u32,
+    cpus: u32,
+    memory_gb: u32,
+    #[serde(default)]
+    within: config::Within,
+    region: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Account {
+    name: String,
+    token_sha256: String,
+    #[serde(default = "one")]
+    weight: u32,
+    #[serde(default = "default_queue")]
+    queue: u32,
+    #[serde(default = "default_rate")]
+    rate_per_s: u32,
+    #[serde(default)]
+    shape: Vec<Shape>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Objective {
+    completion_s: u32,
+    ratio: f64,
+    window_days: u32,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Service {
+    name: String,
+    #[serde(default = "one")]
+    tasks: u32,
+    accelerators: u32,
+    cpus: u32,
+    memory_gb: u32,
+    #[serde(default)]
+    within: config::Within,
+    declared_s: u32,
+    #[serde(default = "default_deadline")]
+    deadline_s: u32,
+    #[serde(default)]
+    urgent: bool,
+    #[serde(default)]
+    accounts: Vec<String>,
+    objective: Option<Objective>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Rack {
+    name: String,
+    region: String,
+    domain: String,
+    workers: u32,
+    accelerators: u32,
+    cpus: u32,
+    memory_gb: u32,
+}
+
+const fn one() -> u32 {
+    1
+}
+
+const fn default_queue() -> u32 {
+    64
+}
+
+const fn default_rate() -> u32 {
+    100
+}
+
+const fn default_deadline() -> u32 {
+    86_400
+}
+
+/// Where an item was declared, for faults found by later checks.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub(super) source: usize,
+    pub(super) span: Range<usize>,
+}
+
+/// A configuration with the places of its items.
+#[derive(Debug, Default)]
+pub struct Draft {
+    pub config: config::Config,
+    pub(super) sources: Vec<Source>,
+    pub(super) places: BTreeMap<(&'static str, String), Place>,
+    pub(super) faults: Vec<Fault>,
+}
+
+/// Reads a file, or every `.toml` file of a folder in the order of their names.
+///
+/// # Errors
+/// `InvalidConfiguration` naming the path that cannot be read.
+pub fn read(path: &Path) -> config::Result<Vec<Source>> {
+    let fault = |path: &Path, err: std::io::Error| {
+        let detail = format!("{}: {err}", path.display());
+        error::Error::new(error::Kind::InvalidConfiguration, detail)
+    };
+    let mut paths = vec![path.to_path_buf()];
+    if path.is_dir() {
+        paths = std::fs::read_dir(path)
+            .map_err(|err| fault(path, err))?
+            .filter_map(|entry| entry.ok().map(|entry| entry.path()))
+            .filter(|path| {
+                path.extension()
+                    .is_some_and(|extension| extension == "toml")
+            })
+            .collect();
+        paths.sort();
+    }
+    let mut sources = Vec::new();
+    for path in &paths {
+        let text = std::fs::read_to_string(path).map_err(|err| fault(path, err))?;
+        sources.push(Source {
+            name: path.display().to_string(),
+            text,
+        });
+    }
+    Ok(sources)
+}
+
+/// Parses and checks files as one configuration.
+///
+/// # Errors
+/// Every fault, in the order of files and lines.
+pub fn parse(sources: Vec<Source>) -> Result<config::Config> {
+    let mut draft = Draft {
+        sources,
+        ..Draft::default()
+    };
+    draft.load();
+    check::check(&mut draft);
+    if draft.faults.is_empty() {
+        return Ok(draft.config);
+    }
+    draft.faults.sort();
+    draft.faults.dedup();
+    Err(draft.faults)
+}
+
+/// Puts faults into one error for an answer.
+pub fn error(faults: &[Fault]) -> error::Error {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    error::Error::new(error::Kind::InvalidConfiguration, lines.join("\n"))
+}
+
+impl Draft {
+    fn load(&mut self) {
+        if self.sources.is_empty() {
+            self.faults.push(Fault {
+                file: "configuration".to_owned(),
+                line: 1,
+                field: "file".to_owned(),
+                detail: "no .toml file found".to_owned(),
+            });
+        }
+        for source in 0..self.sources.len() {
+            match toml::from_str::<File>(&self.sources[source].text) {
+                Ok(file) => self.file(source, file),
+                Err(err) => {
+                    let span = err.span().unwrap_or(0..0);
+                    self.fault_at(source, span.start, "file", err.message());
+                }
+            }
+        }
+        if self.config.generation == 0 && self.faults.is_empty() {
+            self.fault_at(
+                0,
+                0,
+                "generation",
+                "missing, or zero; declare it once, from 1 on",
+            );
+        }
+    }
+
+    fn file(&mut self, source: usize, file: File) {
+        if let Some(generation) = file.generation {
+            if self.config.generation != 0 {
+                let at = generation.span().start;
+                self.fault_at(source, at, "generation", "declared twice");
+            }
+            self.config.generation = *generation.get_ref();
+        }
+        if let Some(weights) = file.weights {
+            self.weights(source, weights);
+        }
+        for table in file.account {
+            self.account(source, table);
+        }
+        for table in file.service {
+            self.service(source, table);
+        }
+        for table in file.rack {
+            self.rack(source, table);
+        }
+    }
+
+    fn weights(&mut self, source: usize, table: toml::Spanned<toml::Table>) {
+        let span = table.span();
+        self.places
+            .insert(("weights", String::new()), Place { source, span });
+        if let Some(weights) = self.item::<Weights>(source, "weights", table) {
+            self.config.weights = config::Weights {
+                completion: weights.completion,
+                fragmentation: weights.fragmentation,
+            };
+        }
+    }
+
+    fn account(&mut self, source: usize, table: toml::Spanned<toml::Table>) {
+        let span = table.span();
+        let Some(item) = self.item::<Account>(source, "account", table) else {
+            return;
+        };
+        let shapes = item.shape.into_iter().map(shape).collect();
+        let account = config::Account {
+            token_sha256: item.token_sha256.to_lowercase(),
+            weight: item.weight,
+            queue: item.queue,
+            rate_per_s: item.rate_per_s,
+            shapes,
+        };
+        if self.place("account", &item.name, source, span) {
+            self.config.accounts.insert(item.name, account);
+        }
+    }
+
+    fn service(&mut self, source: usize, table: toml::Spanned<toml::Table>) {
+        let span = table.span();
+        let Some(item) = self.item::<Service>(source, "service", table) else {
+            return;
+        };
+        let objective = item.objective.map_or(
+            config::Objective {
+                completion_s: item.deadline_s,
+                ratio_ppm: 990_000,
+                window_days: 30,
+            },
+            |objective| config::Objective {
+                completion_s: objective.completion_s,
+                ratio_ppm: (objective.ratio * 1_000_000.0) as u32,
+                window_days: objective.window_days,
+            },
+        );
+        let service = config::Service {
+            tasks: item.tasks,
+            each: config::Resources {
+                accelerators: item.accelerators,
+                cpus: item.cpus,
+                memory_gb: item.memory_gb,
+            },
+            within: item.within,
+            declared_s: item.declared_s,
+            deadline_s: item.deadline_s,
+            urgent: item.urgent,
+            accounts: item.accounts,
+            objective,
+        };
+        if self.place("service", &item.name, source, span) {
+            self.config.services.insert(item.name, service);
+        }
+    }
+
+    fn rack(&mut self, source: usize, table: toml::Spanned<toml::Table>) {
+        let span = table.span();
+        let Some(item) = self.item::<Rack>(source, "rack", table) else {
+            return;
+        };
+        let rack = config::Rack {
+            region: item.region,
+            domain: item.domain,
+            workers: item.workers,
+            each: config::Resources {
+                accelerators: item.accelerators,
+                cpus: item.cpus,
+                memory_gb: item.memory_gb,
+            },
+        };
+        if self.place("rack", &item.name, source, span) {
+            self.config.racks.insert(item.name, rack);
+        }
+    }
+
+    /// Reads one table; a fault names the field that it complains of.
+    fn item<T: DeserializeOwned>(
+        &mut self,
+        source: usize,
+        kind: &'static str,
+        table: toml::Spanned<toml::Table>,
+    ) -> Option<T> {
+        let span = table.span();
+        let table = table.into_inner();
+        let name = table
+            .get("name")
+            .and_then(toml::Value::as_str)
+            .unwrap_or("?")
+            .to_owned();
+        match table.clone().try_into::<T>() {
+            Ok(item) => Some(item),
+            Err(err) => {
+                let detail = err.message().to_owned();
+                let field = culprit(&table, &detail);
+                let at = find(&self.sources[source].text, &span, &field);
+                self.fault_at(source, at, &format!("{kind}.{name}.{field}"), &detail);
+                None
+            }
+        }
+    }
+
+    /// Records where an item stands; false when its name is taken.
+    fn place(&mut self, kind: &'static str, name: &str, source: usize, span: Range<usize>) -> bool {
+        let at = span.start;
+        let place = Place { source, span };
+        let taken = self.places.insert((kind, name.to_owned()), place).is_some();
+        if taken {
+            self.fault_at(source, at, &format!("{kind}.{name}.name"), "declared twice");
+        }
+        !taken
+    }
+
+    /// Records a fault of a declared item.
+    pub(super) fn fault(&mut self, kind: &'static str, name: &str, field: &str, detail: &str) {
+        let parts = [kind, name, field]
+            .into_iter()
+            .filter(|part| !part.is_empty());
+        let path = parts.collect::<Vec<_>>().join(".");
+        let Some(place) = self.places.get(&(kind, name.to_owned())).cloned() else {
+            self.fault_at(0, 0, &path, detail);
+            return;
+        };
+        let at = find(&self.sources[place.source].text, &place.span, field);
+        self.fault_at(place.source, at, &path, detail);
+    }
+
+    fn fault_at(&mut self, source: usize, at: usize, field: &str, detail: &str) {
+        let source = &self.sources[source];
+        let before = source.text.get(..at).unwrap_or_default();
+        let line = before.bytes().filter(|byte| *byte == b'\n').count() + 1;
+        let detail = detail.trim().replace('\n', "; ");
+        self.faults.push(Fault {
+            file: source.name.clone(),
+            line,
+            field: field.to_owned(),
+            detail,
+        });
+    }
+}
+
+fn shape(shape: Shape) -> config::Shape {
+    config::Shape {
+        count: shape.count,
+        workers: shape.workers,
+        each: config::Resources {
+            accelerators: shape.accelerators,
+            cpus: shape.cpus,
+            memory_gb: shape.memory_gb,
+        },
+        within: shape.within,
+        region: shape.region,
+    }
+}
+
+/// Name of the field that a reader's message is about: quoted in it, or the one it came under.
+fn culprit(table: &toml::Table, detail: &str) -> String {
+    let quoted = detail.split('`').nth(1).unwrap_or("name");
+    if table.contains_key(quoted) || detail.starts_with("missing") || detail.starts_with("unknown")
+    {
+        return quoted.to_owned();
+    }
+    let wrong_type = |value: &toml::Value| {
+        let shown = value.to_string();
+        detail.contains(shown.trim_matches('"'))
+    };
+    let found = table.iter().find(|(_key, value)| wrong_type(value));
+    found.map_or_else(|| quoted.to_owned(), |(key, _value)| key.clone())
+}
+
+/// Offset of a field's line inside an item, or of the item.
+fn find(text: &str, span: &Range<usize>, field: &str) -> usize {
+    let field = field.split(['.', '[']).next().unwrap_or(field);
+    let end = text[span.start..]
+        .find("\n[[")
+        .map_or(text.len(), |at| span.start + at)
+        .max(span.end);
+    let body = text.get(span.start..end).unwrap_or_default();
+    let mut at = span.start;
+    for line in body.split_inclusive('\n') {
+        let key = line.split('=').next().unwrap_or_default().trim();
+        if key == field {
+            return at;
+        }
+        at += line.len();
+    }
+    span.start
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,9 @@
+//! A control member: consensus, storage, the replicated ledger, and the leader's scheduling.
+
+pub mod admin;
+pub mod daemon;
+pub mod disk;
+pub mod group;
+pub mod leader;
+pub mod member;
+pub mod watch;
--- /dev/null
+++ b/src/control/admin.rs
@@ -0,0 +1,315 @@
+//! What operators read: status, lists, explanations, burn.
+
+use serde_json::{Value, json};
+
+use crate::clock;
+use crate::control::leader;
+use crate::control::member::Member;
+use crate::explain;
+use crate::ledger;
+use crate::raft::node;
+use crate::report;
+use crate::sched::JobId;
+use crate::wire::frame::{Frame, Query};
+
+/// Most jobs in one list; the latest are shown.
+const MAX_JOBS: usize = 1_000;
+
+/// State of this member, and of everyone it hears of while it leads.
+pub fn status(member: &Member) -> Frame {
+    let node = member.node();
+    let role = match node.role() {
+        node::Role::Leader => "leader",
+        node::Role::Follower => "follower",
+        node::Role::Poller | node::Role::Candidate => "candidate",
+    };
+    let now = clock::wall_ms();
+    let generation = member.ledger().config().generation;
+    let process = |(name, heard): (&String, &leader::Heard)| {
+        json!({
+            "name": name,
+            "role": heard.node.role,
+            "region": heard.node.region,
+            "addr": heard.node.addr,
+            "generation": heard.node.generation,
+            "behind": generation.saturating_sub(heard.node.generation),
+            "heard_ms_ago": now.saturating_sub(heard.at_ms),
+        })
+    };
+    let nodes = member.leader().map(leader::Leader::nodes);
+    let processes: Vec<Value> = nodes.into_iter().flatten().map(process).collect();
+    document(&json!({
+        "member": node.id(),
+        "name": member.options().name,
+        "region": member.options().region,
+        "role": role,
+        "leader": node.leader(),
+        "term": node.term(),
+        "commit": node.commit(),
+        "applied": member.ledger().applied(),
+        "log_entries": node.log().len(),
+        "fresh": node.is_fresh(),
+        "generation": generation,
+        "hash": member.ledger().hash().to_string(),
+        "jobs": member.ledger().job_count(),
+        "processes": processes,
+    }))
+}
+
+/// Answers a query that needs the leader.
+pub fn answer(member: &Member, query: &Query) -> Frame {
+    let Some(leader) = member.leader() else {
+        return Frame::Redirect { leader: None };
+    };
+    match query {
+        Query::Status => status(member),
+        Query::Accounts => document(&accounts(member, leader)),
+        Query::Jobs => document(&jobs(member.ledger())),
+        Query::Workers => document(&workers(member.ledger(), leader)),
+        Query::Targets => document(&targets(leader)),
+        Query::Members => document(&members(member)),
+        Query::Explain(job) => decisions(member, None, *job),
+        Query::Burn => document(&burn(member, leader)),
+        Query::Config => document(&json!(member.ledger().config())),
+    }
+}
+
+/// The account of each decision on a job; for callers only on their own jobs.
+pub fn decisions(member: &Member, account: Option<&str>, id: JobId) -> Frame {
+    let job = member.ledger().job(id);
+    let job = job.filter(|job| account.is_none_or(|account| account == job.request.account));
+    let Some(job) = job else {
+        return Frame::Fault(leader::unknown_request());
+    };
+    let note = |note: &ledger::Note| {
+        json!({
+            "at_ms": note.at_ms,
+            "reason": explain::sentence(&note.reason),
+            "detail": note.reason,
+        })
+    };
+    let mut decisions: Vec<Value> = job.notes.iter().map(note).collect();
+    if let Some(reason) = member.leader().and_then(|leader| leader.explain(id)) {
+        let at_ms = clock::wall_ms();
+        let sentence = explain::sentence(&reason);
+        decisions
+            .push(json!({ "at_ms": at_ms, "reason": sentence, "detail": reason, "now": true }));
+    }
+    document(&json!({
+        "request": id,
+        "account": job.request.account,
+        "service": job.request.service,
+        "submitted_ms": job.submitted_ms,
+        "state": state(job),
+        "decisions": decisions,
+    }))
+}
+
+fn document(value: &Value) -> Frame {
+    Frame::Document(value.to_string())
+}
+
+fn state(job: &ledger::Job) -> &'static str {
+    match &job.phase {
+        ledger::Phase::Waiting => "waiting",
+        ledger::Phase::Granted(grant) if grant.stop.is_some() => "stopping",
+        ledger::Phase::Granted(_) => "granted",
+        ledger::Phase::Ended(verdict) if verdict.kind.is_none() => "answered",
+        ledger::Phase::Ended(_) => "failed",
+    }
+}
+
+fn accounts(member: &Member, leader: &leader::Leader) -> Value {
+    let list = member
+        .ledger()
+        .config()
+        .accounts
+        .iter()
+        .map(|(name, account)| {
+            let shapes: Vec<Value> = account
+                .shapes
+                .iter()
+                .enumerate()
+                .map(|(at, shape)| {
+                    let gangs = leader.sched().guarantees().gangs().iter();
+                    let mine: Vec<_> = gangs
+                        .filter(|gang| gang.account == *name && gang.shape == at as u32)
+                        .collect();
+                    json!({
+                        "count": shape.count,
+                        "workers": shape.workers,
+                        "accelerators": shape.each.accelerators,
+                        "within": shape.within,
+                        "region": shape.region,
+                        "in_use": mine.iter().filter(|gang| gang.is_used()).count(),
+                        "short": mine.iter().filter(|gang| gang.is_short()).count(),
+                    })
+                })
+                .collect();
+            let of = |state: &str| {
+                let jobs = member
+                    .ledger()
+                    .jobs()
+                    .filter(|job| job.request.account == *name);
+                jobs.filter(|job| self::state(job) == state).count()
+            };
+            json!({
+                "name": name,
+                "weight": account.weight,
+                "waiting": of("waiting"),
+                "running": of("granted"),
+                "shapes": shapes,
+            })
+        });
+    Value::Array(list.collect())
+}
+
+fn jobs(ledger: &ledger::Ledger) -> Value {
+    let all: Vec<&ledger::Job> = ledger.jobs().collect();
+    let from = all.len().saturating_sub(MAX_JOBS);
+    let list = all[from..].iter().map(|job| {
+        let placement = job.grant().map(|grant| &grant.placement);
+        let names = placement.map(|placement| {
+            let name = |key| ledger.worker(key).map(|worker| worker.name.clone());
+            placement
+                .members
+                .iter()
+                .filter_map(|member| name(member.worker))
+                .collect::<Vec<_>>()
+        });
+        json!({
+            "job": job.id,
+            "account": job.request.account,
+            "service": job.request.service,
+            "state": state(job),
+            "attempts": job.attempts,
+            "guaranteed": placement.is_some_and(|placement| placement.is_guaranteed()),
+            "agent": job.grant().map(|grant| grant.agent.clone()),
+            "workers": names,
+            "submitted_ms": job.submitted_ms,
+            "ended_ms": job.verdict().map(|verdict| verdict.ended_ms),
+            "kind": job.verdict().and_then(|verdict| verdict.kind),
+        })
+    });
+    Value::Array(list.collect())
+}
+
+/// Who holds which accelerators of each worker, for the list and the picture of the racks.
+fn workers(ledger: &ledger::Ledger, leader: &leader::Leader) -> Value {
+    let list = ledger.workers().iter().map(|worker| {
+        let key = worker.info.key;
+        let entry = leader.sched().fleet().get(key);
+        let holders: Vec<Value> = ledger
+            .jobs()
+            .filter_map(|job| {
+                let placement = &job.grant()?.placement;
+                let member = placement
+                    .members
+                    .iter()
+                    .find(|member| member.worker == key)?;
+                Some(json!({
+                    "job": job.id,
+                    "account": job.request.account,
+                    "accelerators": job.form.each.accelerators * member.tasks,
+                    "cpus": job.form.each.cpus * member.tasks,
+                    "guaranteed": placement.is_guaranteed(),
+                }))
+            })
+            .collect();
+        let kept: Vec<Value> = leader
+            .sched()
+            .guarantees()
+            .gangs()
+            .iter()
+            .flat_map(|gang| gang.cells.iter().map(move |cell| (gang, cell)))
+            .filter(|(_gang, cell)| cell.worker == Some(key))
+            .map(|(gang, cell)| {
+                json!({
+                    "account": gang.account,
+                    "shape": gang.shape,
+                    "accelerators": gang.form.each.accelerators,
+                    "in_use": !cell.used.is_zero(),
+                })
+            })
+            .collect();
+        json!({
+            "name": worker.name,
+            "region": worker.info.region,
+            "domain": worker.info.domain,
+            "rack": worker.info.rack,
+            "up": worker.is_up,
+            "quarantined": worker.is_quarantined,
+            "accelerators": worker.info.total.accelerators,
+            "free_accelerators": entry.map(|entry| entry.free().accelerators),
+            "free_cpus": entry.map(|entry| entry.free().cpus),
+            "free_memory_gb": entry.map(|entry| entry.free().memory_gb),
+            "holders": holders,
+            "kept": kept,
+        })
+    });
+    Value::Array(list.collect())
+}
+
+fn targets(leader: &leader::Leader) -> Value {
+    let now = clock::wall_ms();
+    let list = leader.route().targets().map(|(agent, target)| {
+        json!({
+            "agent": agent,
+            "target": target.info.name,
+            "region": target.region,
+            "services": target.info.services,
+            "slots": target.info.slots,
+            "taken": target.taken(),
+            "ready": target.info.ready,
+            "heard_ms_ago": now.saturating_sub(target.heard_ms()),
+        })
+    });
+    Value::Array(list.collect())
+}
+
+fn members(member: &Member) -> Value {
+    let node = member.node();
+    let row = |(id, addr): (&u64, &std::net::SocketAddr), votes: bool| {
+        json!({
+            "id": id,
+            "addr": addr,
+            "votes": votes,
+            "leader": node.leader() == Some(*id),
+            "matched": if *id == node.id() { Some(node.last_index()) } else { node.matched(*id) },
+            "last": node.last_index(),
+        })
+    };
+    let voters = node.members().voters.iter().map(|entry| row(entry, true));
+    let learners = node
+        .members()
+        .learners
+        .iter()
+        .map(|entry| row(entry, false));
+    Value::Array(voters.chain(learners).collect())
+}
+
+fn burn(member: &Member, leader: &leader::Leader) -> Value {
+    let ledger = member.ledger();
+    let now = clock::wall_ms();
+    let history = ledger.burn().history();
+    let points: Vec<Value> = history
+        .iter()
+        .map(|(slot, tally)| {
+            let requests = f64::from(tally.good + tally.bad).max(1.0);
+            json!({
+                "at_ms": slot * report::SLOT_MS,
+                "good": tally.good,
+                "bad": tally.bad,
+                "mean_completion_s": tally.completion_ms as f64 / 1_000.0 / requests,
+            })
+        })
+        .collect();
+    json!({
+        "at_ms": now,
+        "generation": ledger.config().generation,
+        "lines": ledger.burn().lines(ledger.config(), now),
+        "history": points,
+        "fragmentation": leader.fragmentation(),
+        "workers": workers(ledger, leader),
+    })
+}
--- /dev/null
+++ b/src/control/group.rs
@@ -0,0 +1,136 @@
+//! The control group as others call it: finds the leader, follows redirects, retries with pauses.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::clock;
+use crate::error;
+use crate::limit;
+use crate::wire::{self, Frame, transport};
+
+/// Time that one member gets to answer, beyond a long poll's own time.
+const CALL_MS: u64 = 1_500;
+
+/// First pause before a retry.
+const PAUSE_MS: u64 = 20;
+
+/// Longest pause before a retry.
+const MAX_PAUSE_MS: u64 = 400;
+
+/// Retries earned by a hundred successes.
+const RETRY_PERCENT: u64 = 20;
+
+/// Retries that may be saved up.
+const RETRY_RESERVE: u64 = 100;
+
+/// Calls to the control group; clones share what is known of the leader.
+#[derive(Clone, Debug)]
+pub struct Group {
+    transport: transport::Transport,
+    members: Arc<Vec<SocketAddr>>,
+    shared: Arc<Mutex<Shared>>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    leader: Option<SocketAddr>,
+    budget: limit::Budget,
+}
+
+impl Group {
+    /// Makes a client of the members at these addresses.
+    pub fn new(transport: transport::Transport, members: Vec<SocketAddr>) -> Self {
+        let budget = limit::Budget::new(RETRY_PERCENT, RETRY_RESERVE);
+        let shared = Arc::new(Mutex::new(Shared {
+            leader: None,
+            budget,
+        }));
+        Self {
+            transport,
+            members: Arc::new(members),
+            shared,
+        }
+    }
+
+    /// Addresses of the members.
+    pub fn members(&self) -> &[SocketAddr] {
+        &self.members
+    }
+
+    /// The transport underneath.
+    pub fn transport(&self) -> &transport::Transport {
+        &self.transport
+    }
+
+    /// Calls the leader; `wait` is how long the call itself may take, `limit` bounds all tries.
+    ///
+    /// # Errors
+    /// The leader's own error, or `NoQuorum` with `ran: unknown` when no leader answered in time.
+    pub fn call(&self, frame: &Frame, wait: Duration, limit: Duration) -> wire::Result<Frame> {
+        let start = Instant::now();
+        let timeout = wait + Duration::from_millis(CALL_MS);
+        let mut tries: u32 = 0;
+        let mut last = String::from("no member was reached");
+        while tries == 0 || start.elapsed() < limit {
+            let addr = self.choose(tries);
+            tries += 1;
+            let left = (limit + wait).saturating_sub(start.elapsed());
+            let timeout = timeout.min(left.max(Duration::from_millis(100)));
+            match self.transport.call(addr, frame.clone(), timeout) {
+                Ok(Frame::Redirect { leader }) => {
+                    self.shared().leader = leader.filter(|leader| *leader != addr);
+                    last = format!("{addr} does not lead");
+                    if leader.is_some_and(|leader| leader != addr) && tries < 4 {
+                        continue;
+                    }
+                }
+                Err(err) if is_transient(&err) => {
+                    self.shared().leader = None;
+                    last = err.detail;
+                }
+                result => {
+                    let mut shared = self.shared();
+                    shared.leader = Some(addr);
+                    shared.budget.succeed();
+                    return result;
+                }
+            }
+            let allowed = self.shared().budget.retry();
+            let pause = limit::backoff_ms(tries, PAUSE_MS, MAX_PAUSE_MS, clock::incarnation() >> 7);
+            // Without budget the tries go on, but at the slowest pace.
+            let pause = if allowed { pause } else { MAX_PAUSE_MS };
+            thread::sleep(Duration::from_millis(pause).min(limit.saturating_sub(start.elapsed())));
+        }
+        let detail = format!("no control leader answered in time: {last}");
+        Err(error::Error::new(error::Kind::NoQuorum, detail))
+    }
+
+    /// Calls any member, the given one first.
+    ///
+    /// # Errors
+    /// The error of the last member tried.
+    pub fn call_any(&self, first: usize, frame: &Frame, wait: Duration) -> wire::Result<Frame> {
+        let addr = self.members[first % self.members.len()];
+        self.transport
+            .call(addr, frame.clone(), wait + Duration::from_millis(CALL_MS))
+    }
+
+    fn choose(&self, tries: u32) -> SocketAddr {
+        let known = self.shared().leader;
+        known.unwrap_or_else(|| self.members[tries as usize % self.members.len()])
+    }
+
+    fn shared(&self) -> std::sync::MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Whether another try may help; the command's key makes it safe.
+fn is_transient(err: &error::Error) -> bool {
+    matches!(
+        err.kind,
+        error::Kind::Unreachable | error::Kind::NotLeader | error::Kind::Overloaded
+    )
+}
--- /dev/null
+++ b/src/entry/daemon.rs
@@ -0,0 +1,388 @@
+//! The threads of an entry, and its HTTP paths.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use crate::agent;
+use crate::clock;
+use crate::config;
+use crate::control::{group, leader};
+use crate::entry::{answer, headers, request};
+use crate::error::{self, Kind};
+use crate::ledger;
+use crate::limit;
+use crate::roster;
+use crate::serve;
+use crate::telemetry;
+use crate::uplink;
+use crate::wire::frame::{self, Frame};
+use crate::wire::transport;
+
+/// Largest share of the places, in per cent, that one account may take.
+const ACCOUNT_PERCENT: usize = 25;
+
+/// Threads beside those that hold callers: announcements, health, metrics.
+const SPARE_THREADS: usize = 16;
+
+/// Bound of a call that only reads.
+const READ_LIMIT: Duration = Duration::from_secs(8);
+
+/// Longest that a caller waits past its deadline for word from control.
+const DEADLINE_GRACE: Duration = Duration::from_millis(500);
+
+/// Settings of an entry.
+#[derive(Clone, Debug)]
+pub struct Options {
+    pub name: String,
+    pub region: String,
+    pub http: SocketAddr,
+    /// Control members, the nearest first.
+    pub control: Vec<SocketAddr>,
+    /// Requests in progress.
+    pub places: usize,
+    pub max_body_bytes: usize,
+    pub delay: Duration,
+}
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Daemon {
+    pub http: SocketAddr,
+    gate: Arc<serve::Gate>,
+}
+
+/// Starts an entry.
+///
+/// # Errors
+/// `Unreachable` when the address is taken.
+pub fn start(options: &Options) -> error::Result<Daemon> {
+    let delay = options.delay;
+    let transport = transport::Transport::start(transport::Options {
+        listen: None,
+        delay,
+    })?;
+    let group = group::Group::new(transport, options.control.clone());
+    let live: Arc<uplink::Live> = Arc::default();
+    let roster: Arc<Mutex<roster::Roster>> = Arc::default();
+    let gate: Arc<serve::Gate> = Arc::default();
+    let each = (options.places * ACCOUNT_PERCENT / 100).max(1);
+    let service = Arc::new(Service {
+        options: options.clone(),
+        group: group.clone(),
+        live: Arc::clone(&live),
+        roster: Arc::clone(&roster),
+        places: limit::Places::new(options.places, each),
+        rates: Mutex::default(),
+        gate: Arc::clone(&gate),
+        keys: AtomicU64::new(clock::incarnation()),
+    });
+    let threads = options.places + SPARE_THREADS;
+    let http = serve::start(options.http, threads, Arc::clone(&gate), service)?;
+    let identity = uplink::Identity {
+        node: frame::Node {
+            name: options.name.clone(),
+            role: frame::Role::Entry,
+            region: options.region.clone(),
+            addr: http,
+            incarnation: clock::incarnation(),
+            generation: 0,
+        },
+        live,
+    };
+    uplink::watch(identity.clone(), group.clone(), uplink::Ignore)?;
+    uplink::report(identity, group, roster, Arc::default())?;
+    log::info!(http:% = http; "entry started");
+    Ok(Daemon { http, gate })
+}
+
+impl Daemon {
+    /// Takes nothing new and waits for requests in progress, up to a time; tells whether all ended.
+    pub fn stop(&self, limit: Duration) -> bool {
+        self.gate.close();
+        self.gate.drain(limit)
+    }
+}
+
+struct Service {
+    options: Options,
+    group: group::Group,
+    live: Arc<uplink::Live>,
+    roster: Arc<Mutex<roster::Roster>>,
+    places: Arc<limit::Places>,
+    rates: Mutex<limit::Rates>,
+    gate: Arc<serve::Gate>,
+    keys: AtomicU64,
+}
+
+impl serve::Handler for Service {
+    fn max_body_bytes(&self) -> usize {
+        self.options.max_body_bytes
+    }
+
+    fn handle(&self, request: &serve::Request) -> serve::Response {
+        let start = Instant::now();
+        let result = self.route(request);
+        let kind = result
+            .as_ref()
+            .err()
+            .map_or("answered", |err| err.kind.row().name);
+        telemetry::REQUESTS.with_label_values(&[kind]).inc();
+        telemetry::REQUEST_SECONDS.observe(start.elapsed().as_secs_f64());
+        result.unwrap_or_else(|err| {
+            log::debug!(kind = kind; "{}", err.detail);
+            serve::problem(&err)
+        })
+    }
+
+    fn readiness(&self) -> std::result::Result<(), String> {
+        if !self.live.is_fresh() {
+            return Err("no word from the control group".to_owned());
+        }
+        if self.live.config().generation == 0 {
+            return Err("no configuration was applied yet".to_owned());
+        }
+        Ok(())
+    }
+}
+
+impl Service {
+    fn route(&self, request: &serve::Request) -> error::Result<serve::Response> {
+        let path = request.uri().path().to_owned();
+        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        let method = request.method().as_str().to_owned();
+        match (method.as_str(), parts.as_slice()) {
+            ("POST", ["v1", "services", service, "requests"]) => self.submit(request, service),
+            ("GET", ["v1", "requests", id]) => self.get(request, id),
+            ("DELETE", ["v1", "requests", id]) => self.cancel(request, id),
+            ("GET", ["v1", "requests", id, "decisions"]) => self.decisions(request, id),
+            ("POST", ["v1", "platform", "workers"]) => {
+                agent::daemon::hear_worker(request, &self.roster)?;
+                Ok(serve::json(200, &serde_json::json!({ "ok": true })))
+            }
+            (_, ["v1", "services", _, "requests"] | ["v1", "requests", _]) => {
+                let detail = format!("{method} is not served at {path}");
+                Err(error::Error::new(Kind::WrongMethod, detail))
+            }
+            _ => {
+                let detail = format!("nothing is served at {path}");
+                Err(error::Error::new(Kind::UnknownPath, detail))
+            }
+        }
+    }
+
+    /// Finds the caller's account; refuses everything that must not go on.
+    fn account(&self, request: &serve::Request) -> error::Result<(Arc<config::Config>, String)> {
+        if !self.live.is_fresh() {
+            let detail = "this entry has not heard from the control group within its lease";
+            return Err(error::Error::new(Kind::StaleConfiguration, detail));
+        }
+        let config = self.live.config();
+        let token = headers::token(request)?;
+        let account = config.account_of(token).map(str::to_owned);
+        let account = account.ok_or_else(|| {
+            error::Error::new(Kind::Unauthorized, "the token belongs to no account")
+        })?;
+        Ok((config, account))
+    }
+
+    fn submit(&self, http: &serve::Request, name: &str) -> error::Result<serve::Response> {
+        if self.gate.is_closing() {
+            let detail = "this entry is shutting down; send the request again";
+            return Err(error::Error::new(Kind::ShuttingDown, detail));
+        }
+        let (config, account) = self.account(http)?;
+        let service = config
+            .services
+            .get(name)
+            .filter(|service| service.admits(&account));
+        let service = service.ok_or_else(|| leader::unknown_service(name))?;
+        let headers = headers::Headers::read(http)?;
+        let place = self.admit(&config, &account)?;
+        let body = http.body().clone();
+        let deadline = headers
+            .deadline
+            .unwrap_or_else(|| Duration::from_secs(u64::from(service.deadline_s)));
+        let key = headers.key.unwrap_or_else(|| self.new_key());
+        let request = ledger::Request {
+            account: account.clone(),
+            service: name.to_owned(),
+            key: key.clone(),
+            region: self.options.region.clone(),
+            repeatable: headers.repeatable,
+            content_type: headers.content_type,
+            digest: digest(name, headers.repeatable, &body),
+            body,
+            deadline_ms: deadline.as_millis() as u64,
+        };
+        let way = self.way(&account, headers.wait.min(deadline + DEADLINE_GRACE));
+        let start = Instant::now();
+        let view = way.submit(request)?;
+        let outcome = way.follow(view);
+        drop(place);
+        let outcome = outcome?;
+        if matches!(outcome, request::Outcome::Accepted { .. }) && start.elapsed() > deadline {
+            let detail = "the deadline passed without word from control";
+            return Err(error::Error::new(Kind::Deadline, detail));
+        }
+        let mut response = self.respond(outcome);
+        serve::insert(&mut response, headers::KEY, &key);
+        Ok(response)
+    }
+
+    /// Checks the account's limits; returns its place among the requests in progress.
+    fn admit(&self, config: &config::Config, account: &str) -> error::Result<limit::Place> {
+        let declared = config.accounts.get(account);
+        let rate = declared.map_or(1, |account| account.rate_per_s);
+        let allowed = {
+            let mut rates = self.rates.lock().unwrap_or_else(PoisonError::into_inner);
+            rates.take(account, rate, clock::mono_ms())
+        };
+        if !allowed {
+            let detail = format!("over {rate} requests a second");
+            return Err(error::Error::new(Kind::RateLimited, detail));
+        }
+        self.places.take(account).map_err(|full| match full {
+            limit::Full::Account => error::Error::new(
+                Kind::QueueFull,
+                "the account has too many requests in progress at this entry",
+            ),
+            limit::Full::All => error::Error::new(
+                Kind::Overloaded,
+                "this entry has too many requests in progress",
+            ),
+        })
+    }
+
+    fn get(&self, http: &serve::Request, id: &str) -> error::Result<serve::Response> {
+        let (config, account) = self.account(http)?;
+        let place = self.admit(&config, &account)?;
+        let job = job_id(id)?;
+        let way = self.way(&account, headers::wait(http)?);
+        let view = way.view(job, 0, Duration::ZERO)?;
+        let outcome = way.follow(view);
+        drop(place);
+        outcome.map(|outcome| self.respond(outcome))
+    }
+
+    fn cancel(&self, http: &serve::Request, id: &str) -> error::Result<serve::Response> {
+        let (_config, account) = self.account(http)?;
+        let job = job_id(id)?;
+        let cancel = Frame::Cancel {
+            account: account.clone(),
+            job,
+        };
+        let answer = self.group.call(&cancel, READ_LIMIT, READ_LIMIT)?;
+        let (state, ran) = match answer {
+            Frame::View(frame::View {
+                stage: frame::Stage::Ended { verdict, .. },
+                ..
+            }) => match verdict.kind {
+                None => ("answered", verdict.ran),
+                Some(kind) => (kind.row().name, verdict.ran),
+            },
+            // The order to stop is durable, but its agent has not confirmed it yet.
+            _ => ("cancelling", error::Ran::Unknown),
+        };
+        Ok(serve::json(
+            200,
+            &serde_json::json!({ "request": job, "state": state, "ran": ran }),
+        ))
+    }
+
+    fn decisions(&self, http: &serve::Request, id: &str) -> error::Result<serve::Response> {
+        let (_config, account) = self.account(http)?;
+        let job = job_id(id)?;
+        match self.group.call(
+            &Frame::Decisions { account, job },
+            Duration::ZERO,
+            READ_LIMIT,
+        )? {
+            Frame::Document(text) => Ok(serve::respond(
+                200,
+                "application/json",
+                serve::Body::whole(text),
+            )),
+            _ => Err(error::Error::new(
+                Kind::Internal,
+                "unexpected answer from control",
+            )),
+        }
+    }
+
+    fn way<'a>(
+        &'a self,
+        account: &'a str,
+        wait: Duration,
+    ) -> request::Way<'a, group::Group, transport::Transport> {
+        request::Way {
+            control: &self.group,
+            source: self.group.transport(),
+            account,
+            until: Instant::now() + wait,
+        }
+    }
+
+    fn respond(&self, outcome: request::Outcome) -> serve::Response {
+        match outcome {
+            request::Outcome::Accepted { job } => accepted(job),
+            request::Outcome::Inline { job, answer, body } => {
+                let body = serve::Body::whole(body);
+                let mut response = serve::respond(answer.status, &answer.content_type, body);
+                stamp(&mut response, job, answer.attempt, answer.checksum);
+                response
+            }
+            request::Outcome::Remote { agent, head } => self.stream(agent, *head),
+        }
+    }
+
+    /// Streams an answer from its agent, so that its size costs the entry no memory.
+    fn stream(&self, agent: SocketAddr, head: frame::Part) -> serve::Response {
+        let (status, length) = (head.status, head.length);
+        let (job, attempt, checksum) = (head.job, head.attempt, head.checksum);
+        let content_type = head.content_type.clone();
+        let reader = answer::Reader::new(self.group.transport().clone(), agent, head);
+        if let Err(err) = reader.check() {
+            return serve::problem(&error::Error::new(Kind::AnswerInvalid, err.to_string()));
+        }
+        let body = serve::Body::parts(reader, length);
+        let mut response = serve::respond(status, &content_type, body);
+        stamp(&mut response, job, attempt, checksum);
+        response
+    }
+
+    fn new_key(&self) -> String {
+        let count = self.keys.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{count:x}", self.options.name)
+    }
+}
+
+/// Checksum by which a reused key is told from a resend.
+fn digest(service: &str, repeatable: bool, body: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(service.as_bytes());
+    hasher.update(&[0, u8::from(repeatable)]);
+    hasher.update(body);
+    hasher.finalize()
+}
+
+fn job_id(text: &str) -> error::Result<u64> {
+    text.parse()
+        .map_err(|_not_a_number| leader::unknown_request())
+}
+
+fn accepted(job: u64) -> serve::Response {
+    let location = format!("/v1/requests/{job}");
+    let body = serde_json::json!({ "request": job, "state": "accepted", "location": location });
+    let mut response = serve::json(202, &body);
+    serve::insert(&mut response, "location", &location);
+    serve::insert(&mut response, headers::REQUEST, &job.to_string());
+    response
+}
+
+fn stamp(response: &mut serve::Response, job: u64, attempt: u32, checksum: u32) {
+    serve::insert(response, headers::REQUEST, &job.to_string());
+    serve::insert(response, headers::ATTEMPT, &attempt.to_string());
+    serve::insert(response, headers::CHECKSUM, &format!("{checksum:08x}"));
+}
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,197 @@
+//! The closed list of error kinds and the one table from kind to answer.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Result of every fallible operation whose failure may reach a caller.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Whether the request that failed has run on a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Ran {
+    /// It did not run, and will not.
+    No,
+    /// It ran, wholly or in part.
+    Yes,
+    /// Nobody can tell.
+    Unknown,
+}
+
+/// Everything that can go wrong, as told to callers and operators.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    Malformed,
+    InvalidHeader,
+    Unauthorized,
+    UnknownService,
+    UnknownRequest,
+    UnknownPath,
+    WrongMethod,
+    BodyTooLarge,
+    KeyReused,
+    NeverFits,
+    QueueFull,
+    RateLimited,
+    NoTarget,
+    NotLeader,
+    NoQuorum,
+    Overloaded,
+    Unreachable,
+    ShuttingDown,
+    StaleConfiguration,
+    Deadline,
+    Cancelled,
+    Stopped,
+    GangFailed,
+    TargetFailed,
+    AnswerInvalid,
+    AnswerLost,
+    AnswerExpired,
+    InvalidConfiguration,
+    OldGeneration,
+    GenerationConflict,
+    InvalidMember,
+    Storage,
+    Internal,
+}
+
+/// One line of the table: how a kind is answered.
+#[derive(Clone, Copy, Debug)]
+pub struct Row {
+    /// The kind described.
+    pub kind: Kind,
+    /// HTTP status code.
+    pub status: u16,
+    /// Name used in `kind` members of problem documents and in metrics labels.
+    pub name: &'static str,
+    /// What is known about the request when nothing more specific is said.
+    pub ran: Ran,
+    /// Seconds to put into `Retry-After`; zero for none.
+    pub retry_after_s: u32,
+}
+
+const fn row(kind: Kind, status: u16, name: &'static str, ran: Ran, retry_after_s: u32) -> Row {
+    Row {
+        kind,
+        status,
+        name,
+        ran,
+        retry_after_s,
+    }
+}
+
+/// How each kind is answered.
+pub const TABLE: &[Row] = &[
+    row(Kind::Malformed, 400, "malformed", Ran::No, 0),
+    row(Kind::InvalidHeader, 400, "invalid-header", Ran::No, 0),
+    row(Kind::Unauthorized, 401, "unauthorized", Ran::No, 0),
+    row(Kind::UnknownService, 404, "unknown-service", Ran::No, 0),
+    row(
+        Kind::UnknownRequest,
+        404,
+        "unknown-request",
+        Ran::Unknown,
+        0,
+    ),
+    row(Kind::UnknownPath, 404, "unknown-path", Ran::No, 0),
+    row(Kind::WrongMethod, 405, "wrong-method", Ran::No, 0),
+    row(Kind::BodyTooLarge, 413, "body-too-large", Ran::No, 0),
+    row(Kind::KeyReused, 422, "key-reused", Ran::No, 0),
+    row(Kind::NeverFits, 422, "never-fits", Ran::No, 0),
+    row(Kind::QueueFull, 429, "queue-full", Ran::No, 1),
+    row(Kind::RateLimited, 429, "rate-limited", Ran::No, 1),
+    row(Kind::NoTarget, 503, "no-target", Ran::No, 2),
+    row(Kind::NotLeader, 503, "not-leader", Ran::No, 1),
+    row(Kind::NoQuorum, 503, "no-quorum", Ran::Unknown, 2),
+    row(Kind::Overloaded, 503, "overloaded", Ran::No, 1),
+    row(Kind::Unreachable, 503, "unreachable", Ran::Unknown, 1),
+    row(Kind::ShuttingDown, 503, "shutting-down", Ran::No, 1),
+    row(
+        Kind::StaleConfiguration,
+        503,
+        "stale-configuration",
+        Ran::No,
+        2,
+    ),
+    row(Kind::Deadline, 504, "deadline", Ran::Unknown, 0),
+    row(Kind::Cancelled, 409, "cancelled", Ran::Unknown, 0),
+    row(Kind::Stopped, 409, "stopped", Ran::Yes, 0),
+    row(Kind::GangFailed, 502, "gang-failed", Ran::Unknown, 0),
+    row(Kind::TargetFailed, 502, "target-failed", Ran::Yes, 0),
+    row(Kind::AnswerInvalid, 502, "answer-invalid", Ran::Yes, 0),
+    row(Kind::AnswerLost, 502, "answer-lost", Ran::Unknown, 0),
+    row(Kind::AnswerExpired, 410, "answer-expired", Ran::Yes, 0),
+    row(
+        Kind::InvalidConfiguration,
+        422,
+        "invalid-configuration",
+        Ran::No,
+        0,
+    ),
+    row(Kind::OldGeneration, 409, "old-generation", Ran::No, 0),
+    row(
+        Kind::GenerationConflict,
+        409,
+        "generation-conflict",
+        Ran::No,
+        0,
+    ),
+    row(Kind::InvalidMember, 409, "invalid-member", Ran::No, 0),
+    row(Kind::Storage, 500, "storage", Ran::Unknown, 0),
+    row(Kind::Internal, 500, "internal", Ran::Unknown, 0),
+];
+
+impl Kind {
+    /// Looks up the answer for this kind.
+    pub fn row(self) -> &'static Row {
+        TABLE
+            .iter()
+            .find(|row| row.kind == self)
+            .expect("every kind has a row; tests/tests/error.rs checks it")
+    }
+}
+
+/// An error with what is known about the request's fate.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Error {
+    /// The kind, which selects the answer.
+    pub kind: Kind,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// One sentence for the person who reads the answer.
+    pub detail: String,
+}
+
+impl Error {
+    /// Makes an error with the kind's usual statement about the request's fate.
+    pub fn new(kind: Kind, detail: impl Into<String>) -> Self {
+        Self {
+            kind,
+            ran: kind.row().ran,
+            detail: detail.into(),
+        }
+    }
+
+    /// Replaces the statement about the request's fate.
+    pub fn with_ran(mut self, ran: Ran) -> Self {
+        self.ran = ran;
+        self
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.kind.row().name, self.detail)
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<std::io::Error> for Error {
+    fn from(err: std::io::Error) -> Self {
+        Self::new(Kind::Storage, err.to_string())
+    }
+}
--- /dev/null
+++ b/src/explain.rs
@@ -0,0 +1,172 @@
+//! Reasons of decisions as sentences that a customer can check.
+
+use crate::sched::event::{Cause, Reason};
+
+/// One sentence for a reason.
+pub fn sentence(reason: &Reason) -> String {
+    match reason {
+        Reason::Guaranteed {
+            shapes,
+            waited_ms,
+            stopped,
+            moved,
+        } => {
+            let how = match (stopped.as_slice(), moved) {
+                ([], true) => ", whose cells were moved to free workers".to_owned(),
+                ([], false) => String::new(),
+                (jobs, _) => format!(", after borrowed jobs {} had left", list(jobs)),
+            };
+            format!(
+                "placed after {} in the account's guaranteed shape {}{how}",
+                seconds(*waited_ms),
+                list(shapes)
+            )
+        }
+        Reason::Borrowed {
+            waited_ms,
+            share_ppm,
+            backfilled,
+            fragments,
+        } => {
+            let mut text = format!(
+                "placed after {} on borrowed capacity; the account's dominant share by weight was {}",
+                seconds(*waited_ms),
+                percent(*share_ppm)
+            );
+            if let Some(job) = backfilled {
+                text += &format!("; it runs beside the reservation of job {job}");
+            }
+            if *fragments > 0 {
+                text += &format!("; it takes {fragments} of the places for the largest guarantee");
+            }
+            text
+        }
+        Reason::Claiming { shapes, stopping } => format!(
+            "its guaranteed cells of shape {} are being vacated by jobs {}",
+            list(shapes),
+            list(stopping)
+        ),
+        Reason::Yielded {
+            to,
+            account,
+            shape,
+            lost_ms,
+        } => format!(
+            "gives way to job {to}, which claims guaranteed shape {shape} of account {account}; \
+             {} of work since its start are lost unless it was checkpointed",
+            seconds(*lost_ms)
+        ),
+        Reason::NeverFits {
+            tasks,
+            each,
+            within,
+            most,
+        } => format!(
+            "{tasks} tasks of {} accelerators, {} cpus and {} GB within one {} never fit: the \
+             largest holds {most}",
+            each.accelerators,
+            each.cpus,
+            each.memory_gb,
+            format!("{within:?}").to_lowercase()
+        ),
+        Reason::QueueFull { limit } => format!("{limit} jobs of the account wait already"),
+        Reason::Waiting { .. } => waiting(reason),
+        Reason::Cancelled { was_running: true } => "cancelled while it ran".to_owned(),
+        Reason::Cancelled { was_running: false } => "cancelled before it ran".to_owned(),
+        Reason::DeadlinePassed { waited_ms } => {
+            format!(
+                "its deadline passed after it had waited {}",
+                seconds(*waited_ms)
+            )
+        }
+        Reason::Done { run_ms } => format!("done after running {}", seconds(*run_ms)),
+        Reason::Retried { attempt, worker } => match worker {
+            Some(worker) => format!(
+                "attempt {attempt} failed on worker {}; queued again",
+                worker.0
+            ),
+            None => format!("attempt {attempt} ended early; queued again"),
+        },
+        Reason::FailsEverywhere { attempts } => {
+            format!("failed in {attempts} attempts on different workers")
+        }
+        Reason::NotRepeatable { cause } => format!(
+            "{}, and it must not run a second time",
+            match cause {
+                Cause::Reclaimed => "it gave way to a guarantee",
+                Cause::Cancelled => "it was cancelled",
+                Cause::Overuse => "it used more memory than declared",
+            }
+        ),
+        Reason::WorkerLost {
+            worker: Some(worker),
+        } => {
+            format!("worker {} of its gang was lost or refused", worker.0)
+        }
+        Reason::WorkerLost { worker: None } => "its gang was lost".to_owned(),
+        Reason::Overuse {
+            used_gb,
+            declared_gb,
+        } => {
+            format!("uses {used_gb} GB on a worker where it declared {declared_gb} GB")
+        }
+        Reason::WorkerFails { failures, .. } => {
+            format!("{failures} different jobs failed in a row on the worker; it is in quarantine")
+        }
+        Reason::WorkerRecovered => "the worker is in use again".to_owned(),
+    }
+}
+
+fn waiting(reason: &Reason) -> String {
+    let Reason::Waiting {
+        account_share_ppm,
+        ahead_account,
+        ahead_share_ppm,
+        free_accelerators,
+        kept_for,
+        reserved_for,
+        expected_in_ms,
+        would_stop,
+    } = reason
+    else {
+        return String::new();
+    };
+    let mut text = format!(
+        "waits: {free_accelerators} accelerators are free, but no whole gang of its form fits; the \
+         account's share is {}",
+        percent(*account_share_ppm)
+    );
+    if let Some(ahead) = ahead_account {
+        text += &format!(
+            "; account {ahead} goes first with {}",
+            percent(*ahead_share_ppm)
+        );
+    }
+    if let Some(kept) = kept_for {
+        text += &format!("; a guaranteed shape is kept reclaimable for account {kept}");
+    }
+    if let Some(job) = reserved_for {
+        text += &format!("; workers are reserved for job {job}, which has waited longer");
+    }
+    if let Some(ms) = expected_in_ms {
+        text += &format!("; room is expected in {}", seconds(*ms));
+    }
+    if *would_stop > 0 {
+        text += &format!("; {would_stop} borrowed jobs run and are stopped only for a guarantee");
+    }
+    text
+}
+
+fn list<T: ToString>(items: &[T]) -> String {
+    let mut items: Vec<String> = items.iter().map(ToString::to_string).collect();
+    items.dedup();
+    items.join(", ")
+}
+
+fn seconds(ms: u64) -> String {
+    format!("{}.{:03} s", ms / 1_000, ms % 1_000)
+}
+
+fn percent(ppm: u64) -> String {
+    format!("{}.{} %", ppm / 10_000, ppm % 10_000 / 1_000)
+}
--- /dev/null
+++ b/src/ledger.rs
@@ -0,0 +1,248 @@
+//! The replicated state of the control group.
+//!
+//! Commands record what the leader has decided; applying one never decides anything, so every
+//! member and every replay comes to the same state. Queries only read.
+
+pub mod apply;
+pub mod command;
+pub mod query;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::config;
+use crate::config::diff;
+use crate::error;
+use crate::raft::Index;
+use crate::report;
+use crate::sched::event;
+use crate::sched::fleet;
+use crate::sched::{JobId, Millis};
+
+pub use command::Command;
+
+/// Result of encoding or decoding the state.
+pub type Result<T> = error::Result<T>;
+
+/// Configuration changes kept for processes that missed some.
+pub const KEPT_CHANGES: usize = 1_024;
+
+/// Notes kept for each job.
+pub const KEPT_NOTES: usize = 32;
+
+/// A caller's request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Request {
+    pub account: String,
+    pub service: String,
+    /// Idempotency key.
+    pub key: String,
+    /// Region of the entry that took it.
+    pub region: String,
+    pub repeatable: bool,
+    pub content_type: String,
+    pub body: Bytes,
+    /// Checksum of service and body, by which a reused key is told from a resend.
+    pub digest: u32,
+    /// Time left until its deadline when the leader took it.
+    pub deadline_ms: Millis,
+}
+
+/// The form of a job, taken from its service when it was submitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Form {
+    pub tasks: u32,
+    pub each: config::Resources,
+    pub within: config::Within,
+    pub urgent: bool,
+    pub declared_ms: Millis,
+}
+
+/// An order to stop a granted gang.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stop {
+    pub cause: event::Cause,
+    pub grace_ms: Millis,
+}
+
+/// The right of an agent to run a job's gang.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    pub agent: String,
+    /// Start of the agent that the grant is for; a later start of it refuses the grant.
+    pub incarnation: u64,
+    pub attempt: u32,
+    /// Fencing token: index of the log entry that placed the gang.
+    pub token: Index,
+    pub placement: event::Placement,
+    pub placed_ms: Millis,
+    pub stop: Option<Stop>,
+    pub throttled: bool,
+}
+
+/// Where an answer can be had.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    pub agent: String,
+    pub attempt: u32,
+    pub status: u16,
+    pub content_type: String,
+    pub length: u64,
+    pub checksum: u32,
+    /// The whole answer, when it is small and the job must not run again.
+    pub inline: Option<Bytes>,
+}
+
+/// How a job ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// Nothing for a job that was answered.
+    pub kind: Option<error::Kind>,
+    pub ran: error::Ran,
+    pub detail: String,
+    pub ended_ms: Millis,
+    pub run_ms: Millis,
+    pub answer: Option<Answer>,
+}
+
+/// Where a job stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    Waiting,
+    Granted(Grant),
+    Ended(Verdict),
+}
+
+/// A decision with its time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Note {
+    pub at_ms: Millis,
+    pub reason: event::Reason,
+}
+
+/// A job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Job {
+    pub id: JobId,
+    pub request: Request,
+    pub form: Form,
+    pub submitted_ms: Millis,
+    pub attempts: u32,
+    /// What is known of earlier attempts.
+    pub ran: error::Ran,
+    pub phase: Phase,
+    /// Index of the last entry that changed it.
+    pub changed: Index,
+    pub notes: Vec<Note>,
+}
+
+/// A worker as the ledger knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Worker {
+    pub name: String,
+    pub addr: SocketAddr,
+    pub info: event::Worker,
+    pub is_up: bool,
+    pub is_quarantined: bool,
+}
+
+/// An agent and the target beside it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Agent {
+    pub addr: SocketAddr,
+    pub region: String,
+    pub incarnation: u64,
+}
+
+/// A configuration that was accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    pub hash: config::Hash,
+    pub at_ms: Millis,
+    /// What it changed, one line for each item.
+    pub changes: Vec<String>,
+    pub delta: diff::Delta,
+}
+
+/// The replicated state.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ledger {
+    applied: Index,
+    config: config::Config,
+    hash: config::Hash,
+    accepted: VecDeque<Accepted>,
+    workers: Vec<Worker>,
+    worker_keys: BTreeMap<String, fleet::Key>,
+    agents: BTreeMap<String, Agent>,
+    jobs: BTreeMap<JobId, Job>,
+    keys: BTreeMap<(String, String), JobId>,
+    granted: BTreeMap<String, Vec<JobId>>,
+    ended: VecDeque<(Millis, JobId)>,
+    next_job: JobId,
+    burn: report::Burn,
+}
+
+impl Ledger {
+    /// Encodes the state for a snapshot.
+    ///
+    /// # Errors
+    /// `Internal` when it cannot be encoded.
+    pub fn encode(&self) -> Result<Bytes> {
+        bincode::serde::encode_to_vec(self, bincode::config::standard())
+            .map(Bytes::from)
+            .map_err(|err| error::Error::new(error::Kind::Internal, err.to_string()))
+    }
+
+    /// Decodes a snapshot.
+    ///
+    /// # Errors
+    /// `Storage` when the bytes are not a snapshot of this version.
+    pub fn decode(data: &[u8]) -> Result<Self> {
+        bincode::serde::decode_from_slice(data, bincode::config::standard())
+            .map(|(ledger, _used)| ledger)
+            .map_err(|err| error::Error::new(error::Kind::Storage, format!("snapshot: {err}")))
+    }
+}
+
+impl Job {
+    /// What the scheduler needs to know of it.
+    pub fn spec(&self) -> event::Spec {
+        event::Spec {
+            id: self.id,
+            account: self.request.account.clone(),
+            service: self.request.service.clone(),
+            region: self.request.region.clone(),
+            tasks: self.form.tasks,
+            each: self.form.each,
+            within: self.form.within,
+            urgent: self.form.urgent,
+            repeatable: self.request.repeatable,
+            declared_ms: self.form.declared_ms,
+            submitted_ms: self.submitted_ms,
+        }
+    }
+
+    /// Leader's clock at its deadline.
+    pub fn deadline_ms(&self) -> Millis {
+        self.submitted_ms.saturating_add(self.request.deadline_ms)
+    }
+
+    /// Its grant, while it has one.
+    pub fn grant(&self) -> Option<&Grant> {
+        match &self.phase {
+            Phase::Granted(grant) => Some(grant),
+            Phase::Waiting | Phase::Ended(_) => None,
+        }
+    }
+
+    /// How it ended, once it has.
+    pub fn verdict(&self) -> Option<&Verdict> {
+        match &self.phase {
+            Phase::Ended(verdict) => Some(verdict),
+            Phase::Waiting | Phase::Granted(_) => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,230 @@
+//! HTTP towards workers and targets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error;
+use crate::platform::{self, Ops, Outcomes, Result};
+
+/// Time allowed for a lease message.
+const LEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Time allowed for an announcement.
+const NEWS_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Age from which an idle connection is not used again; targets close theirs later.
+const IDLE_AGE: Duration = Duration::from_secs(3);
+
+/// A request as it goes to a target.
+#[derive(Clone, Debug)]
+pub struct Dispatch {
+    pub target: SocketAddr,
+    pub service: String,
+    pub account: String,
+    pub job: u64,
+    pub attempt: u32,
+    /// Names of the gang's workers, separated by commas.
+    pub gang: String,
+    pub content_type: String,
+    pub body: Bytes,
+    pub remaining: Duration,
+}
+
+/// A target's whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    pub status: u16,
+    pub content_type: String,
+    pub body: Bytes,
+}
+
+/// What agents and stand-ins need of the platform; a fake stands in for it in tests.
+pub trait Platform: Clone + Send + 'static {
+    /// Sends lease operations to a worker.
+    ///
+    /// # Errors
+    /// `Unreachable` when the worker does not answer in time.
+    fn lease(&self, worker: SocketAddr, ops: &Ops) -> Result<Outcomes>;
+
+    /// Sends a request to a target and reads the whole answer.
+    ///
+    /// # Errors
+    /// `Unreachable` with `ran: no` when no connection was made; `TargetFailed`, `AnswerInvalid`
+    /// or `Deadline` when the target may have run it.
+    fn dispatch(&self, dispatch: &Dispatch, max_bytes: u64) -> Result<Reply>;
+}
+
+/// The platform over HTTP; clones share connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    agent: ureq::Agent,
+}
+
+impl Client {
+    /// Makes a client that keeps at most so many idle connections to one address.
+    pub fn new(connections: usize) -> Self {
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .max_idle_connections(connections * 4)
+            .max_idle_connections_per_host(connections)
+            .max_idle_age(IDLE_AGE)
+            .max_redirects(0)
+            .max_redirects_will_error(false)
+            .timeout_connect(Some(Duration::from_millis(1_000)))
+            .build();
+        Self {
+            agent: config.new_agent(),
+        }
+    }
+
+    /// Sends a JSON body and reads a JSON answer.
+    ///
+    /// # Errors
+    /// `Unreachable` when there is no good answer in time.
+    pub fn post<T: DeserializeOwned>(
+        &self,
+        url: &str,
+        body: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<T> {
+        let failed = |detail: String| {
+            error::Error::new(error::Kind::Unreachable, format!("{url}: {detail}"))
+        };
+        let text = serde_json::to_vec(body).map_err(|err| failed(err.to_string()))?;
+        let request = self
+            .agent
+            .post(url)
+            .config()
+            .timeout_global(Some(timeout))
+            .build();
+        let mut answer = request
+            .content_type("application/json")
+            .send(&*text)
+            .map_err(|err| failed(err.to_string()))?;
+        let status = answer.status().as_u16();
+        let limited = answer
+            .body_mut()
+            .with_config()
+            .limit(platform::MAX_JSON_BYTES);
+        let text = limited
+            .read_to_vec()
+            .map_err(|err| failed(err.to_string()))?;
+        if status >= 300 {
+            return Err(failed(format!("status {status}")));
+        }
+        serde_json::from_slice(&text).map_err(|err| failed(err.to_string()))
+    }
+
+    /// Announces something to an entry or agent.
+    ///
+    /// # Errors
+    /// `Unreachable` when it does not answer in time.
+    pub fn announce(&self, to: SocketAddr, path: &str, news: &impl Serialize) -> Result<()> {
+        let url = format!("http://{to}{path}");
+        self.post::<serde_json::Value>(&url, news, NEWS_TIMEOUT)
+            .map(drop)
+    }
+}
+
+impl Platform for Client {
+    fn lease(&self, worker: SocketAddr, ops: &Ops) -> Result<Outcomes> {
+        self.post(&format!("http://{worker}/v1/leases"), ops, LEASE_TIMEOUT)
+    }
+
+    fn dispatch(&self, dispatch: &Dispatch, max_bytes: u64) -> Result<Reply> {
+        let url = format!("http://{}/v1/run/{}", dispatch.target, dispatch.service);
+        let request = self
+            .agent
+            .post(&url)
+            .config()
+            .timeout_global(Some(dispatch.remaining));
+        let answer = request
+            .build()
+            .content_type(&dispatch.content_type)
+            .header(platform::REQUEST_HEADER, dispatch.job.to_string())
+            .header(platform::ATTEMPT_HEADER, dispatch.attempt.to_string())
+            .header(platform::ACCOUNT_HEADER, &dispatch.account)
+            .header(platform::GANG_HEADER, &dispatch.gang)
+            .header(
+                platform::REMAINING_HEADER,
+                dispatch.remaining.as_millis().to_string(),
+            )
+            .send(&*dispatch.body);
+        let mut answer = answer.map_err(|err| dispatch_error(&err))?;
+        check_echo(dispatch, answer.headers())?;
+        let status = answer.status().as_u16();
+        let content_type = header(answer.headers(), "content-type").unwrap_or_default();
+        let length = header(answer.headers(), "content-length");
+        let limited = answer.body_mut().with_config().limit(max_bytes);
+        let body = limited
+            .read_to_vec()
+            .map_err(|err| read_error(&err, max_bytes))?;
+        let whole = length.and_then(|text| text.parse::<usize>().ok());
+        if whole.is_some_and(|whole| whole != body.len()) {
+            return Err(invalid("the answer is shorter than it declares"));
+        }
+        Ok(Reply {
+            status,
+            content_type,
+            body: body.into(),
+        })
+    }
+}
+
+fn header(headers: &ureq::http::HeaderMap, name: &str) -> Option<String> {
+    Some(headers.get(name)?.to_str().ok()?.to_owned())
+}
+
+/// Refuses an answer that belongs to another request or attempt.
+fn check_echo(dispatch: &Dispatch, headers: &ureq::http::HeaderMap) -> Result<()> {
+    let request = header(headers, platform::REQUEST_HEADER);
+    let attempt = header(headers, platform::ATTEMPT_HEADER);
+    let own = request.as_deref() == Some(&*dispatch.job.to_string())
+        && attempt.as_deref() == Some(&*dispatch.attempt.to_string());
+    if own {
+        return Ok(());
+    }
+    Err(invalid("the answer does not name this request and attempt"))
+}
+
+fn invalid(detail: &str) -> error::Error {
+    error::Error::new(error::Kind::AnswerInvalid, detail)
+}
+
+fn dispatch_error(err: &ureq::Error) -> error::Error {
+    match err {
+        // No byte of the request has left without a connection.
+        ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
+        | ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
+            error::Error::new(error::Kind::Unreachable, err.to_string()).with_ran(error::Ran::No)
+        }
+        ureq::Error::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
+            error::Error::new(error::Kind::Unreachable, err.to_string()).with_ran(error::Ran::No)
+        }
+        ureq::Error::Timeout(_) => error::Error::new(
+            error::Kind::Deadline,
+            "the target did not answer before the deadline",
+        ),
+        _ => error::Error::new(error::Kind::TargetFailed, err.to_string())
+            .with_ran(error::Ran::Unknown),
+    }
+}
+
+fn read_error(err: &ureq::Error, max_bytes: u64) -> error::Error {
+    match err {
+        ureq::Error::BodyExceedsLimit(_) => {
+            invalid(&format!("the answer is larger than {max_bytes} bytes"))
+        }
+        ureq::Error::Timeout(_) => error::Error::new(
+            error::Kind::Deadline,
+            "the target's answer was not complete before the deadline",
+        )
+        .with_ran(error::Ran::Yes),
+        _ => invalid(&format!("the answer is not whole: {err}")),
+    }
+}
--- /dev/null
+++ b/src/query/get.rs
@@ -0,0 +1,94 @@
+//! `oriolereel get`
+
+use clap::ValueEnum;
+
+use crate::console;
+use crate::query::Result;
+
+/// One line for the list of commands.
+pub const ABOUT: &str = "List accounts, jobs, workers, targets or members";
+
+/// What it does and costs, with an example.
+pub const USAGE: &str = "\
+Reads from the leader within its lease, so what it shows was decided by a quorum. Costs no commit.
+
+Example:
+  oriolereel get workers --format json";
+
+/// What can be listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum What {
+    Accounts,
+    Jobs,
+    Workers,
+    Targets,
+    Members,
+}
+
+/// Arguments of the command.
+#[derive(clap::Args, Debug)]
+pub struct Args {
+    #[command(flatten)]
+    pub console: console::Console,
+    /// How to print it
+    #[arg(long, value_enum, default_value_t)]
+    pub format: console::Format,
+    /// What to list
+    #[arg(value_enum)]
+    pub what: What,
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// When control cannot be reached.
+pub fn run(args: &Args) -> Result<()> {
+    let (path, columns): (&str, &[&str]) = match args.what {
+        What::Accounts => ("/v1/accounts", &["name", "weight", "waiting", "running"]),
+        What::Jobs => (
+            "/v1/jobs",
+            &[
+                "job",
+                "account",
+                "service",
+                "state",
+                "attempts",
+                "guaranteed",
+                "workers",
+                "kind",
+            ],
+        ),
+        What::Workers => (
+            "/v1/workers",
+            &[
+                "name",
+                "region",
+                "rack",
+                "up",
+                "quarantined",
+                "accelerators",
+                "free_accelerators",
+            ],
+        ),
+        What::Targets => (
+            "/v1/targets",
+            &[
+                "target",
+                "agent",
+                "region",
+                "services",
+                "slots",
+                "taken",
+                "ready",
+                "heard_ms_ago",
+            ],
+        ),
+        What::Members => (
+            "/v1/members",
+            &["id", "addr", "votes", "leader", "matched", "last"],
+        ),
+    };
+    let answer = args.console.get(path)?;
+    console::print(args.format, &answer, columns)?;
+    Ok(())
+}
--- /dev/null
+++ b/src/raft/log.rs
@@ -0,0 +1,150 @@
+//! The part of the log that is kept in memory, from the last snapshot on.
+
+use crate::raft::members;
+use crate::raft::message;
+use crate::raft::{Index, Term};
+
+/// Entries after the last snapshot.
+#[derive(Clone, Debug, Default)]
+pub struct Log {
+    base_index: Index,
+    base_term: Term,
+    base_members: members::Members,
+    entries: Vec<message::Entry>,
+}
+
+impl Log {
+    /// Makes a log that starts after a snapshot; index and term are zero without one.
+    pub fn new(
+        base_index: Index,
+        base_term: Term,
+        base_members: members::Members,
+        entries: Vec<message::Entry>,
+    ) -> Self {
+        Self {
+            base_index,
+            base_term,
+            base_members,
+            entries,
+        }
+    }
+
+    /// Index of the snapshot below the first kept entry.
+    pub fn base_index(&self) -> Index {
+        self.base_index
+    }
+
+    /// Number of kept entries.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no entry is kept.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Whether nothing was ever stored: a member in this state never votes.
+    pub fn is_blank(&self) -> bool {
+        self.last_index() == 0
+    }
+
+    /// Index of the last entry, or of the snapshot.
+    pub fn last_index(&self) -> Index {
+        self.base_index + self.entries.len() as Index
+    }
+
+    /// Term of the last entry, or of the snapshot.
+    pub fn last_term(&self) -> Term {
+        self.entries
+            .last()
+            .map_or(self.base_term, |entry| entry.term)
+    }
+
+    /// Term of an entry, if it is kept or is the snapshot's.
+    pub fn term(&self, index: Index) -> Option<Term> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    /// A kept entry.
+    pub fn get(&self, index: Index) -> Option<&message::Entry> {
+        let offset = index.checked_sub(self.base_index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Entries from an index on, up to a number of bytes but at least one.
+    pub fn slice(&self, from: Index, max_bytes: usize) -> Vec<message::Entry> {
+        let mut bytes = 0;
+        let mut out = Vec::new();
+        let mut index = from;
+        while let Some(entry) = self.get(index) {
+            bytes += size(entry);
+            if !out.is_empty() && bytes > max_bytes {
+                break;
+            }
+            out.push(entry.clone());
+            index += 1;
+        }
+        out
+    }
+
+    /// Adds an entry at the end.
+    pub fn push(&mut self, entry: message::Entry) {
+        debug_assert_eq!(entry.index, self.last_index() + 1);
+        self.entries.push(entry);
+    }
+
+    /// Drops the entry at an index and all after it.
+    pub fn truncate(&mut self, from: Index) {
+        let keep = from.saturating_sub(self.base_index + 1);
+        self.entries.truncate(keep as usize);
+    }
+
+    /// Drops entries that a snapshot covers.
+    pub fn compact(&mut self, index: Index) {
+        let Some(term) = self.term(index) else { return };
+        let members = self.members_at(index);
+        let drop = (index - self.base_index) as usize;
+        self.entries.drain(..drop);
+        self.base_index = index;
+        self.base_term = term;
+        self.base_members = members;
+    }
+
+    /// Replaces everything by a snapshot.
+    pub fn reset(&mut self, index: Index, term: Term, members: members::Members) {
+        *self = Self::new(index, term, members, Vec::new());
+    }
+
+    /// Membership recorded at or before an index.
+    pub fn members_at(&self, index: Index) -> members::Members {
+        let upto = index.saturating_sub(self.base_index) as usize;
+        let kept = &self.entries[..upto.min(self.entries.len())];
+        let found = kept.iter().rev().find_map(|entry| match &entry.payload {
+            message::Payload::Members(members) => Some(members.clone()),
+            message::Payload::Noop | message::Payload::Command(_) => None,
+        });
+        found.unwrap_or_else(|| self.base_members.clone())
+    }
+
+    /// Whether a membership entry lies after an index.
+    pub fn members_after(&self, index: Index) -> bool {
+        let from = index.saturating_sub(self.base_index) as usize;
+        let rest = self.entries.get(from..).unwrap_or_default();
+        rest.iter()
+            .any(|entry| matches!(entry.payload, message::Payload::Members(_)))
+    }
+}
+
+/// Bytes that an entry counts for in batches.
+pub fn size(entry: &message::Entry) -> usize {
+    const HEADER_BYTES: usize = 24;
+    HEADER_BYTES
+        + match &entry.payload {
+            message::Payload::Command(data) => data.len(),
+            message::Payload::Noop | message::Payload::Members(_) => 0,
+        }
+}
--- /dev/null
+++ b/src/route.rs
@@ -0,0 +1,247 @@
+//! Targets and which of them gets a job.
+//!
+//! The caller's region goes first, the others by the answer volume already moved to them. Within a
+//! region the better of two random targets by remaining slots is taken (power of two choices,
+//! Mitzenmacher 2001). A target that fails again and again is ejected for a time, but never so many
+//! that less than half of a service's targets remain.
+
+use std::collections::BTreeMap;
+
+use crate::map;
+use crate::sched::JobId;
+use crate::sched::event::{Gate, Spec};
+use crate::wire::frame;
+
+/// Silence of an agent after which its target gets nothing new.
+const SILENCE_MS: u64 = 2_500;
+
+/// Failures in a row that eject a target.
+const FAILURES: u32 = 5;
+
+/// First time of an ejection.
+const EJECT_MS: u64 = 10_000;
+
+/// Longest time of an ejection.
+const MAX_EJECT_MS: u64 = 300_000;
+
+/// A target with its agent.
+#[derive(Clone, Debug)]
+pub struct Target {
+    pub region: String,
+    pub incarnation: u64,
+    pub info: frame::Target,
+    heard_ms: u64,
+    taken: u32,
+    failures: u32,
+    ejections: u32,
+    ejected_until_ms: u64,
+}
+
+impl Target {
+    /// Slots that are free.
+    pub fn free(&self) -> u32 {
+        self.info
+            .slots
+            .min(self.info.connections)
+            .saturating_sub(self.taken)
+    }
+
+    /// Slots that jobs have.
+    pub fn taken(&self) -> u32 {
+        self.taken
+    }
+
+    /// When its agent was last heard.
+    pub fn heard_ms(&self) -> u64 {
+        self.heard_ms
+    }
+}
+
+/// All targets, by the name of their agent.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    now: u64,
+    rng: u64,
+    targets: BTreeMap<String, Target>,
+    assigned: map::Map<JobId, String>,
+    /// Answer bytes moved from a region to another.
+    volume: map::Map<(String, String), u64>,
+}
+
+impl Table {
+    /// Makes an empty table; the seed makes its choices repeatable.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: seed | 1,
+            ..Self::default()
+        }
+    }
+
+    /// Advances the clock.
+    pub fn tick(&mut self, now: u64) {
+        self.now = self.now.max(now);
+    }
+
+    /// Takes an agent's report; true when that agent has started anew.
+    pub fn hear(&mut self, now: u64, node: &frame::Node, info: &frame::Target) -> bool {
+        self.tick(now);
+        let known = self.targets.get_mut(&node.name);
+        let Some(target) = known else {
+            let target = Target {
+                region: node.region.clone(),
+                incarnation: node.incarnation,
+                info: info.clone(),
+                heard_ms: now,
+                taken: self
+                    .assigned
+                    .values()
+                    .filter(|agent| **agent == node.name)
+                    .count() as u32,
+                failures: 0,
+                ejections: 0,
+                ejected_until_ms: 0,
+            };
+            self.targets.insert(node.name.clone(), target);
+            return true;
+        };
+        let restarted = target.incarnation != node.incarnation;
+        target.incarnation = node.incarnation;
+        target.region.clone_from(&node.region);
+        target.info = info.clone();
+        target.heard_ms = now;
+        restarted
+    }
+
+    /// All targets by the name of their agent.
+    pub fn targets(&self) -> impl Iterator<Item = (&String, &Target)> {
+        self.targets.iter()
+    }
+
+    /// The target that a job was assigned to.
+    pub fn assigned(&self, job: JobId) -> Option<(&String, &Target)> {
+        let agent = self.assigned.get(&job)?;
+        self.targets.get_key_value(agent)
+    }
+
+    /// Restores an assignment that the ledger records.
+    pub fn adopt(&mut self, job: JobId, agent: &str) {
+        if let Some(target) = self.targets.get_mut(agent) {
+            target.taken += 1;
+        }
+        self.assigned.insert(job, agent.to_owned());
+    }
+
+    /// Counts the outcome of a request at a target.
+    pub fn outcome(&mut self, agent: &str, ok: bool) {
+        let floor_kept = self.ejectable(agent);
+        let Some(target) = self.targets.get_mut(agent) else {
+            return;
+        };
+        if ok {
+            target.failures = 0;
+            target.ejections = 0;
+            return;
+        }
+        target.failures += 1;
+        if target.failures >= FAILURES && floor_kept {
+            let pause = (EJECT_MS << target.ejections.min(10)).min(MAX_EJECT_MS);
+            target.ejected_until_ms = self.now + pause;
+            target.ejections += 1;
+            target.failures = 0;
+        }
+    }
+
+    /// Counts answer bytes that crossed regions.
+    pub fn moved(&mut self, from: &str, to: &str, bytes: u64) {
+        if from != to {
+            *self
+                .volume
+                .entry((from.to_owned(), to.to_owned()))
+                .or_default() += bytes;
+        }
+    }
+
+    /// Whether at least half of the targets of the same services stay in use without this one.
+    fn ejectable(&self, agent: &str) -> bool {
+        let Some(target) = self.targets.get(agent) else {
+            return false;
+        };
+        let alike = self.targets.iter().filter(|(_name, other)| {
+            other
+                .info
+                .services
+                .iter()
+                .any(|service| target.info.services.contains(service))
+        });
+        let (mut all, mut usable) = (0, 0);
+        for (name, other) in alike {
+            all += 1;
+            usable += usize::from(name != agent && other.ejected_until_ms <= self.now);
+        }
+        usable * 2 >= all
+    }
+
+    fn usable(&self, target: &Target, service: &str) -> bool {
+        target.info.ready
+            && target.free() > 0
+            && self.now < target.heard_ms + SILENCE_MS
+            && target.ejected_until_ms <= self.now
+            && target.info.services.iter().any(|name| name == service)
+    }
+
+    fn random(&mut self, below: usize) -> usize {
+        self.rng ^= self.rng << 13;
+        self.rng ^= self.rng >> 7;
+        self.rng ^= self.rng << 17;
+        (self.rng % below.max(1) as u64) as usize
+    }
+}
+
+impl Gate for Table {
+    fn regions(&self, spec: &Spec) -> Vec<String> {
+        let mut found: Vec<(bool, u64, String)> = Vec::new();
+        for target in self.targets.values() {
+            let listed = found
+                .iter()
+                .any(|(_far, _volume, region)| *region == target.region);
+            if listed || !self.usable(target, &spec.service) {
+                continue;
+            }
+            let pair = (target.region.clone(), spec.region.clone());
+            let volume = self.volume.get(&pair).copied().unwrap_or(0);
+            found.push((target.region != spec.region, volume, target.region.clone()));
+        }
+        found.sort();
+        found
+            .into_iter()
+            .map(|(_far, _volume, region)| region)
+            .collect()
+    }
+
+    fn take(&mut self, spec: &Spec, region: &str) {
+        let candidates: Vec<String> = self
+            .targets
+            .iter()
+            .filter(|(_name, target)| target.region == region && self.usable(target, &spec.service))
+            .map(|(name, _target)| name.clone())
+            .collect();
+        let Some(first) = candidates.get(self.random(candidates.len())).cloned() else {
+            return;
+        };
+        let second = candidates[self.random(candidates.len())].clone();
+        let better = if self.targets[&second].free() > self.targets[&first].free() {
+            second
+        } else {
+            first
+        };
+        self.adopt(spec.id, &better);
+    }
+
+    fn release(&mut self, job: JobId) {
+        if let Some(agent) = self.assigned.remove(&job)
+            && let Some(target) = self.targets.get_mut(&agent)
+        {
+            target.taken = target.taken.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/sched.rs
@@ -0,0 +1,27 @@
+//! Decisions: which gang runs where, what is kept for whom, and who gives way.
+//!
+//! The core takes the time and events and returns decisions; it has no clock, socket, thread or
+//! randomness. The anchors are HiveD (OSDI 2020) for guaranteed cells, FGD (USENIX ATC 2023) for
+//! fragmentation, Tiresias (NSDI 2019) for least attained service, EASY backfilling (Lifka, 1995)
+//! for reservations and DRF (NSDI 2011) for shares; docs/design/ tells what was taken of each.
+
+pub mod bind;
+pub mod core;
+pub mod estimate;
+pub mod event;
+pub mod fleet;
+pub mod gang;
+pub mod guarantee;
+pub mod health;
+pub mod measure;
+pub mod queue;
+pub mod reclaim;
+pub mod reserve;
+
+pub use self::core::Sched;
+
+/// Identity of a job; the ledger gives them out.
+pub type JobId = u64;
+
+/// Milliseconds on the leader's clock.
+pub type Millis = u64;
--- /dev/null
+++ b/src/sched/core.rs
@@ -0,0 +1,366 @@
+//! The scheduling core: takes the time and events, returns decisions.
+
+mod dispatch;
+mod explain;
+mod lifecycle;
+
+use std::sync::Arc;
+
+use crate::config::{self, Resources};
+use crate::map;
+use crate::sched::estimate;
+use crate::sched::event::{self, Decision, Event, Gate, Reason};
+use crate::sched::fleet;
+use crate::sched::guarantee;
+use crate::sched::health;
+use crate::sched::queue;
+use crate::sched::reserve;
+use crate::sched::{JobId, Millis};
+
+slotmap::new_key_type! {
+    /// Key of a job in the arena.
+    pub struct JobKey;
+}
+
+/// Grace of a reclaimed gang between throttling and stopping.
+pub const RECLAIM_GRACE_MS: Millis = 1_000;
+
+/// How the queue is served.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Policy {
+    /// Shares, reservations and fragmentation, as the module's pages describe.
+    #[default]
+    Fair,
+    /// First come, first fit, with the same guarantees; a baseline to measure against.
+    Fifo,
+}
+
+/// What a job is doing.
+#[derive(Clone, Debug)]
+enum State {
+    Waiting,
+    /// Its cells are claimed, but others have not left yet.
+    Claiming {
+        placement: event::Placement,
+        stopping: Vec<JobId>,
+    },
+    Running {
+        placement: event::Placement,
+    },
+    Stopping {
+        placement: event::Placement,
+        cause: event::Cause,
+    },
+}
+
+impl State {
+    fn placement(&self) -> Option<&event::Placement> {
+        match self {
+            Self::Waiting => None,
+            Self::Claiming { placement, .. }
+            | Self::Running { placement }
+            | Self::Stopping { placement, .. } => Some(placement),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Job {
+    spec: event::Spec,
+    account: usize,
+    estimate: estimate::Key,
+    state: State,
+    started_ms: Millis,
+    attempts: u32,
+    /// Workers on which it failed.
+    bad: Vec<fleet::Key>,
+    throttled: bool,
+}
+
+impl Job {
+    fn accelerators(&self) -> u32 {
+        self.spec.each.accelerators * self.spec.tasks
+    }
+
+    fn is_waiting(&self) -> bool {
+        matches!(self.state, State::Waiting)
+    }
+
+    /// Borrowed gangs that run may be reclaimed.
+    fn is_reclaimable(&self) -> bool {
+        matches!(&self.state, State::Running { placement } if !placement.is_guaranteed())
+    }
+}
+
+/// Jobs that need the same are placed alike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Class {
+    tasks: u32,
+    each: Resources,
+    within: config::Within,
+    /// Bit for each admitted region.
+    regions: u64,
+    /// Whether it would run past the reservation's date.
+    long: bool,
+}
+
+/// Counts of what was decided.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub placed: u64,
+    pub refused: u64,
+    pub stopped: u64,
+    pub requeued: u64,
+}
+
+/// The scheduling core.
+#[derive(Clone, Debug)]
+pub struct Sched {
+    policy: Policy,
+    now: Millis,
+    config: Arc<config::Config>,
+    big: Option<config::Shape>,
+    fleet: fleet::Fleet,
+    guarantees: guarantee::Book,
+    estimates: estimate::Book,
+    health: health::Book,
+    jobs: slotmap::SlotMap<JobKey, Job>,
+    ids: map::Map<JobId, JobKey>,
+    accounts: Vec<queue::Account<JobKey>>,
+    account_ids: map::Map<String, usize>,
+    /// Gangs on each worker, by position of the worker's key.
+    residents: Vec<Vec<JobKey>>,
+    claiming: Vec<JobKey>,
+    blocked: map::Set<Class>,
+    unclaimable: map::Set<(usize, Class)>,
+    reservation: Option<reserve::Reservation<JobKey>>,
+    forecast_stale: bool,
+    shortfalls: Vec<guarantee::Shortfall>,
+    counts: Counts,
+    out: Vec<Decision>,
+}
+
+impl Sched {
+    /// Makes a core without workers, accounts or jobs.
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            policy,
+            now: 0,
+            config: Arc::default(),
+            big: None,
+            fleet: fleet::Fleet::default(),
+            guarantees: guarantee::Book::default(),
+            estimates: estimate::Book::default(),
+            health: health::Book::default(),
+            jobs: slotmap::SlotMap::with_key(),
+            ids: map::Map::default(),
+            accounts: Vec::new(),
+            account_ids: map::Map::default(),
+            residents: Vec::new(),
+            claiming: Vec::new(),
+            blocked: map::Set::default(),
+            unclaimable: map::Set::default(),
+            reservation: None,
+            forecast_stale: true,
+            shortfalls: Vec::new(),
+            counts: Counts::default(),
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes events that came together and decides once.
+    pub fn step<G: Gate>(
+        &mut self,
+        now: Millis,
+        events: impl IntoIterator<Item = Event>,
+        gate: &mut G,
+    ) -> Vec<Decision> {
+        self.now = self.now.max(now);
+        for event in events {
+            self.take(event, gate);
+        }
+        self.dispatch(gate);
+        self.shortfalls = self.guarantees.shortfalls();
+        std::mem::take(&mut self.out)
+    }
+
+    fn take<G: Gate>(&mut self, event: Event, gate: &mut G) {
+        match event {
+            Event::Configure(config) => self.configure(config),
+            Event::WorkerUp(worker) => self.worker_up(&worker),
+            Event::WorkerDown(key) => self.worker_down(key, gate),
+            Event::Submit(spec) => self.submit(spec),
+            Event::Adopt {
+                spec,
+                placement,
+                started_ms,
+                attempts,
+                stopping,
+            } => {
+                self.adopt(spec, placement, started_ms, attempts, stopping);
+            }
+            Event::Ended { job, end, run_ms } => self.ended(job, end, run_ms),
+            Event::Cancel { job, kind } => self.cancel(job, kind, gate),
+            Event::Usage(usage) => self.usage(&usage),
+            Event::Tick => {}
+        }
+    }
+
+    /// Learns the run time of a job that ended under an earlier leader.
+    pub fn learn(&mut self, account: &str, service: &str, declared_ms: Millis, run_ms: Millis) {
+        let key = self.estimates.key(account, service);
+        self.estimates.learn(key, declared_ms, run_ms);
+    }
+
+    /// Takes over a quarantine recorded under an earlier leader; the next probe is due at once.
+    pub fn adopt_quarantine(&mut self, worker: fleet::Key) {
+        self.health.adopt(worker, self.now);
+        if let Some(entry) = self.fleet.get_mut(worker) {
+            entry.state = fleet::State::Quarantined;
+        }
+        self.guarantees.worker_unfit(&mut self.fleet, worker, false);
+    }
+
+    /// The workers and what is in use.
+    pub fn fleet(&self) -> &fleet::Fleet {
+        &self.fleet
+    }
+
+    /// The guaranteed gangs and their cells.
+    pub fn guarantees(&self) -> &guarantee::Book {
+        &self.guarantees
+    }
+
+    /// Guaranteed gangs that cannot be had at present.
+    pub fn shortfalls(&self) -> &[guarantee::Shortfall] {
+        &self.shortfalls
+    }
+
+    /// Counts of what was decided so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Number of jobs that wait, those whose cells are being vacated included.
+    pub fn waiting(&self) -> usize {
+        let queued: usize = self
+            .accounts
+            .iter()
+            .map(|account| account.waiting.len())
+            .sum();
+        queued + self.claiming.len()
+    }
+
+    /// Workers and right of a gang that holds resources.
+    pub fn placement(&self, job: JobId) -> Option<&event::Placement> {
+        self.jobs.get(*self.ids.get(&job)?)?.state.placement()
+    }
+
+    /// Whether a gang's resources are in use by tasks, rather than awaited.
+    pub fn is_running(&self, job: JobId) -> bool {
+        let found = self.ids.get(&job).and_then(|key| self.jobs.get(*key));
+        found.is_some_and(|job| matches!(job.state, State::Running { .. } | State::Stopping { .. }))
+    }
+
+    /// Whether the job is known and has not ended.
+    pub fn knows(&self, job: JobId) -> bool {
+        self.ids.contains_key(&job)
+    }
+
+    fn account(&mut self, name: &str) -> usize {
+        if let Some(at) = self.account_ids.get(name) {
+            return *at;
+        }
+        let at = self.accounts.len();
+        let declared = self.config.accounts.get(name);
+        self.accounts.push(queue::Account {
+            name: name.to_owned(),
+            weight: declared.map_or(1, |account| account.weight),
+            limit: declared.map_or(u32::MAX, |account| account.queue),
+            waiting: Vec::new(),
+            used: Resources::default(),
+        });
+        self.account_ids.insert(name.to_owned(), at);
+        at
+    }
+
+    fn expected_ms(&self, job: &Job) -> Millis {
+        self.estimates.run_ms(job.estimate, job.spec.declared_ms)
+    }
+
+    /// Puts a gang's resources into use.
+    fn occupy(&mut self, key: JobKey, placement: &event::Placement) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let each = job.spec.each;
+        let account = job.account;
+        self.fleet.take(&placement.members, &each);
+        if placement.is_guaranteed() {
+            let name = &self.accounts[account].name;
+            self.guarantees
+                .take(&mut self.fleet, name, &placement.claims, each);
+        }
+        for member in &placement.members {
+            let at = member.worker.0 as usize;
+            if self.residents.len() <= at {
+                self.residents.resize_with(at + 1, Vec::new);
+            }
+            self.residents[at].push(key);
+            self.accounts[account].used += each.scaled(member.tasks);
+        }
+    }
+
+    /// Takes a gang's resources out of use.
+    fn vacate(&mut self, key: JobKey, placement: &event::Placement) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let each = job.spec.each;
+        let account = job.account;
+        self.fleet.release(&placement.members, &each);
+        if placement.is_guaranteed() {
+            let name = &self.accounts[account].name;
+            self.guarantees
+                .release(&mut self.fleet, name, &placement.claims, each);
+        }
+        for member in &placement.members {
+            self.residents[member.worker.0 as usize].retain(|resident| *resident != key);
+            self.accounts[account].used -= each.scaled(member.tasks);
+        }
+        self.freed();
+    }
+
+    /// Forgets what did not fit, as room may have come free.
+    fn freed(&mut self) {
+        self.blocked.clear();
+        self.unclaimable.clear();
+        self.forecast_stale = true;
+    }
+
+    fn decide_end(&mut self, job: JobId, kind: Option<crate::error::Kind>, reason: Reason) {
+        if kind.is_some() {
+            self.counts.refused += 1;
+        }
+        self.out.push(Decision::End { job, kind, reason });
+    }
+
+    /// Removes a job that has ended.
+    fn remove(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.remove(key) else {
+            return;
+        };
+        self.ids.remove(&job.spec.id);
+        self.accounts[job.account]
+            .waiting
+            .retain(|waiting| *waiting != key);
+        self.claiming.retain(|claiming| *claiming != key);
+        if self
+            .reservation
+            .as_ref()
+            .is_some_and(|reservation| reservation.job == key)
+        {
+            self.reservation = None;
+        }
+    }
+}
--- /dev/null
+++ b/src/sched/core/lifecycle.rs
@@ -0,0 +1,524 @@
+//! What each event does to jobs, workers and guarantees.
+
+use std::sync::Arc;
+
+use crate::config;
+use crate::error;
+use crate::sched::core::{Job, JobKey, RECLAIM_GRACE_MS, Sched, State};
+use crate::sched::event::{self, Cause, Decision, End, Gate, Reason};
+use crate::sched::fleet;
+use crate::sched::gang;
+use crate::sched::guarantee;
+use crate::sched::health;
+use crate::sched::measure;
+use crate::sched::{JobId, Millis};
+
+/// Share of a worker's memory, in per cent, from which overuse is met.
+const MEMORY_PRESSURE_PERCENT: u64 = 95;
+
+impl Sched {
+    pub(super) fn configure(&mut self, config: Arc<config::Config>) {
+        for account in &mut self.accounts {
+            if let Some(declared) = config.accounts.get(&account.name) {
+                account.weight = declared.weight;
+                account.limit = declared.queue;
+            }
+        }
+        self.big = measure::largest(&config).cloned();
+        self.config = config;
+        let config = Arc::clone(&self.config);
+        let dropped = self.guarantees.configure(&mut self.fleet, &config);
+        self.demote(&dropped);
+        self.freed();
+    }
+
+    /// Lets gangs whose guarantee was withdrawn run on as borrowed ones.
+    fn demote(&mut self, dropped: &[(String, u32, u32)]) {
+        let affected: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_key, job)| {
+                let claims = job.state.placement().map(|placement| &placement.claims);
+                claims.into_iter().flatten().any(|claim| {
+                    dropped.iter().any(|(account, shape, number)| {
+                        *account == job.spec.account
+                            && *shape == claim.shape
+                            && *number == claim.number
+                    })
+                })
+            })
+            .map(|(key, _job)| key)
+            .collect();
+        for key in affected {
+            let Some(job) = self.jobs.get_mut(key) else {
+                continue;
+            };
+            let each = job.spec.each;
+            let claims = match &mut job.state {
+                State::Waiting => continue,
+                State::Claiming { placement, .. }
+                | State::Running { placement }
+                | State::Stopping { placement, .. } => std::mem::take(&mut placement.claims),
+            };
+            let account = job.spec.account.clone();
+            self.guarantees
+                .release(&mut self.fleet, &account, &claims, each);
+        }
+    }
+
+    pub(super) fn worker_up(&mut self, worker: &event::Worker) {
+        self.fleet.up(worker);
+        if self.health.is_quarantined(worker.key)
+            && let Some(entry) = self.fleet.get_mut(worker.key)
+        {
+            entry.state = fleet::State::Quarantined;
+        }
+        self.guarantees.worker_fit(&mut self.fleet, worker.key);
+        self.freed();
+    }
+
+    pub(super) fn worker_down<G: Gate>(&mut self, key: fleet::Key, gate: &mut G) {
+        let Some(worker) = self.fleet.get_mut(key) else {
+            return;
+        };
+        worker.state = fleet::State::Down;
+        self.guarantees.worker_unfit(&mut self.fleet, key, true);
+        let residents = self
+            .residents
+            .get(key.0 as usize)
+            .cloned()
+            .unwrap_or_default();
+        for job in residents {
+            if self.claiming.contains(&job) {
+                self.unclaim(job, gate);
+            }
+        }
+        self.freed();
+    }
+
+    /// Gives up cells that are still being vacated and puts the job back into its queue.
+    pub(super) fn unclaim<G: Gate>(&mut self, key: JobKey, gate: &mut G) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let State::Claiming { placement, .. } = std::mem::replace(&mut job.state, State::Waiting)
+        else {
+            return;
+        };
+        let (id, account) = (job.spec.id, job.account);
+        self.vacate(key, &placement);
+        self.claiming.retain(|claiming| *claiming != key);
+        self.accounts[account].waiting.push(key);
+        gate.release(id);
+    }
+
+    pub(super) fn submit(&mut self, spec: event::Spec) {
+        if self.ids.contains_key(&spec.id) {
+            return;
+        }
+        let most = gang::most(&self.fleet, &spec.each, spec.within, spec.tasks).max(
+            gang::most_declared(&self.config, &spec.each, spec.within, spec.tasks),
+        );
+        let is_known = self.fleet.iter().next().is_some() || !self.config.racks.is_empty();
+        if is_known && most < spec.tasks {
+            let reason = Reason::NeverFits {
+                tasks: spec.tasks,
+                each: spec.each,
+                within: spec.within,
+                most,
+            };
+            self.decide_end(spec.id, Some(error::Kind::NeverFits), reason);
+            return;
+        }
+        let account = self.account(&spec.account);
+        let limit = self.accounts[account].limit;
+        if self.accounts[account].waiting.len() >= limit as usize {
+            let reason = Reason::QueueFull { limit };
+            self.decide_end(spec.id, Some(error::Kind::QueueFull), reason);
+            return;
+        }
+        let key = self.insert(spec, account, State::Waiting, 0);
+        self.accounts[account].waiting.push(key);
+    }
+
+    fn insert(
+        &mut self,
+        spec: event::Spec,
+        account: usize,
+        state: State,
+        started_ms: Millis,
+    ) -> JobKey {
+        let id = spec.id;
+        let estimate = self.estimates.key(&spec.account, &spec.service);
+        let key = self.jobs.insert(Job {
+            spec,
+            account,
+            estimate,
+            state,
+            started_ms,
+            attempts: 0,
+            bad: Vec::new(),
+            throttled: false,
+        });
+        self.ids.insert(id, key);
+        key
+    }
+
+    pub(super) fn adopt(
+        &mut self,
+        spec: event::Spec,
+        mut placement: event::Placement,
+        started_ms: Millis,
+        attempts: u32,
+        stopping: bool,
+    ) {
+        if self.ids.contains_key(&spec.id) {
+            return;
+        }
+        let account = self.account(&spec.account);
+        if !self
+            .guarantees
+            .restore(&mut self.fleet, &spec.account, &placement.claims)
+        {
+            placement.claims.clear();
+        }
+        let state = if stopping {
+            let cause = Cause::Reclaimed;
+            State::Stopping {
+                placement: placement.clone(),
+                cause,
+            }
+        } else {
+            State::Running {
+                placement: placement.clone(),
+            }
+        };
+        let key = self.insert(spec, account, state, started_ms);
+        self.jobs[key].attempts = attempts;
+        self.occupy(key, &placement);
+        self.guarantees.settle(&mut self.fleet);
+    }
+
+    pub(super) fn ended(&mut self, id: JobId, end: End, run_ms: Millis) {
+        let Some(key) = self.ids.get(&id).copied() else {
+            return;
+        };
+        let state = std::mem::replace(&mut self.jobs[key].state, State::Waiting);
+        let (placement, cause) = match state {
+            State::Running { placement } => (placement, None),
+            State::Stopping { placement, cause } => (placement, Some(cause)),
+            state @ (State::Waiting | State::Claiming { .. }) => {
+                self.jobs[key].state = state;
+                return;
+            }
+        };
+        self.vacate(key, &placement);
+        match (end, cause) {
+            (End::Done, _) => self.done(key, &placement, run_ms),
+            (
+                End::Failed { ran, .. } | End::Stopped { ran } | End::Lost { ran, .. },
+                Some(cause),
+            ) => {
+                self.stopped(key, cause, ran);
+            }
+            (End::Failed { worker, ran }, None) => self.failed(key, &placement, worker, ran),
+            (End::Lost { worker, ran }, None) => self.lost(key, worker, ran),
+            (End::Stopped { ran }, None) => self.lost(key, None, ran),
+        }
+    }
+
+    fn done(&mut self, key: JobKey, placement: &event::Placement, run_ms: Millis) {
+        let job = &self.jobs[key];
+        let id = job.spec.id;
+        self.estimates
+            .learn(job.estimate, job.spec.declared_ms, run_ms);
+        for worker in self.health.passed(&placement.members) {
+            self.recover(worker);
+        }
+        self.decide_end(id, None, Reason::Done { run_ms });
+        self.remove(key);
+    }
+
+    fn recover(&mut self, key: fleet::Key) {
+        if let Some(worker) = self.fleet.get_mut(key)
+            && worker.state == fleet::State::Quarantined
+        {
+            worker.state = fleet::State::Up;
+        }
+        self.guarantees.worker_fit(&mut self.fleet, key);
+        let reason = Reason::WorkerRecovered;
+        self.out.push(Decision::Quarantine {
+            worker: key,
+            on: false,
+            reason,
+        });
+    }
+
+    fn stopped(&mut self, key: JobKey, cause: Cause, ran: bool) {
+        let job = &self.jobs[key];
+        let id = job.spec.id;
+        match cause {
+            Cause::Cancelled => {
+                let reason = Reason::Cancelled { was_running: true };
+                self.decide_end(id, Some(error::Kind::Cancelled), reason);
+                self.remove(key);
+            }
+            Cause::Reclaimed | Cause::Overuse if job.spec.repeatable || !ran => {
+                let attempt = job.attempts;
+                self.requeue(
+                    key,
+                    Reason::Retried {
+                        attempt,
+                        worker: None,
+                    },
+                );
+            }
+            Cause::Reclaimed | Cause::Overuse => {
+                let reason = Reason::NotRepeatable { cause };
+                self.decide_end(id, Some(error::Kind::Stopped), reason);
+                self.remove(key);
+            }
+        }
+    }
+
+    fn failed(
+        &mut self,
+        key: JobKey,
+        placement: &event::Placement,
+        worker: Option<fleet::Key>,
+        ran: bool,
+    ) {
+        let members = placement.members.iter().map(|member| member.worker);
+        let blamed: Vec<fleet::Key> = match worker {
+            Some(worker) => vec![worker],
+            None => members.collect(),
+        };
+        let id = self.jobs[key].spec.id;
+        for (unfit, failures, until_ms) in self.health.failed(id, &blamed, self.now) {
+            self.quarantine(unfit, failures, until_ms);
+        }
+        let job = &mut self.jobs[key];
+        job.bad.extend(blamed);
+        job.attempts += 1;
+        let attempts = job.attempts;
+        if !job.spec.repeatable && ran {
+            let reason = Reason::FailsEverywhere { attempts };
+            self.decide_end(id, Some(error::Kind::GangFailed), reason);
+            self.remove(key);
+        } else if attempts >= health::ATTEMPTS {
+            for innocent in self.health.withdraw(id) {
+                self.recover(innocent);
+            }
+            let reason = Reason::FailsEverywhere { attempts };
+            self.decide_end(id, Some(error::Kind::GangFailed), reason);
+            self.remove(key);
+        } else {
+            self.requeue(
+                key,
+                Reason::Retried {
+                    attempt: attempts,
+                    worker,
+                },
+            );
+        }
+    }
+
+    fn quarantine(&mut self, key: fleet::Key, failures: u32, until_ms: Millis) {
+        if let Some(worker) = self.fleet.get_mut(key)
+            && worker.state == fleet::State::Up
+        {
+            worker.state = fleet::State::Quarantined;
+        }
+        self.guarantees.worker_unfit(&mut self.fleet, key, false);
+        let reason = Reason::WorkerFails { failures, until_ms };
+        self.out.push(Decision::Quarantine {
+            worker: key,
+            on: true,
+            reason,
+        });
+    }
+
+    fn lost(&mut self, key: JobKey, worker: Option<fleet::Key>, ran: bool) {
+        let job = &self.jobs[key];
+        let id = job.spec.id;
+        if job.spec.repeatable || !ran {
+            self.requeue(key, Reason::WorkerLost { worker });
+            return;
+        }
+        self.decide_end(
+            id,
+            Some(error::Kind::GangFailed),
+            Reason::WorkerLost { worker },
+        );
+        self.remove(key);
+    }
+
+    fn requeue(&mut self, key: JobKey, reason: Reason) {
+        let job = &mut self.jobs[key];
+        job.state = State::Waiting;
+        job.throttled = false;
+        let (id, account) = (job.spec.id, job.account);
+        self.accounts[account].waiting.push(key);
+        self.counts.requeued += 1;
+        self.out.push(Decision::Requeue { job: id, reason });
+    }
+
+    pub(super) fn cancel<G: Gate>(&mut self, id: JobId, kind: error::Kind, gate: &mut G) {
+        let Some(key) = self.ids.get(&id).copied() else {
+            return;
+        };
+        let job = &mut self.jobs[key];
+        let waited_ms = self.now.saturating_sub(job.spec.submitted_ms);
+        match &mut job.state {
+            State::Stopping { cause, .. } => *cause = Cause::Cancelled,
+            State::Running { placement } => {
+                let placement = std::mem::take(placement);
+                job.state = State::Stopping {
+                    placement,
+                    cause: Cause::Cancelled,
+                };
+                let reason = Reason::Cancelled { was_running: true };
+                let cause = Cause::Cancelled;
+                self.out.push(Decision::Stop {
+                    job: id,
+                    cause,
+                    grace_ms: 0,
+                    reason,
+                });
+            }
+            State::Claiming { .. } => {
+                self.unclaim(key, gate);
+                self.end_waiting(key, kind, waited_ms);
+            }
+            State::Waiting => self.end_waiting(key, kind, waited_ms),
+        }
+    }
+
+    fn end_waiting(&mut self, key: JobKey, kind: error::Kind, waited_ms: Millis) {
+        let id = self.jobs[key].spec.id;
+        let reason = match kind {
+            error::Kind::Deadline => Reason::DeadlinePassed { waited_ms },
+            _ => Reason::Cancelled { was_running: false },
+        };
+        self.decide_end(id, Some(kind), reason);
+        self.remove(key);
+    }
+
+    /// Asks a borrowed gang to leave.
+    pub(super) fn reclaim(&mut self, key: JobKey, to: JobId, claim: Option<&event::Claim>) {
+        let lost_ms = self.now.saturating_sub(self.jobs[key].started_ms);
+        let account = self
+            .ids
+            .get(&to)
+            .map(|to| self.jobs[*to].spec.account.clone());
+        let job = &mut self.jobs[key];
+        let State::Running { placement } = &mut job.state else {
+            return;
+        };
+        let placement = std::mem::take(placement);
+        job.state = State::Stopping {
+            placement,
+            cause: Cause::Reclaimed,
+        };
+        let reason = Reason::Yielded {
+            to,
+            account: account.unwrap_or_default(),
+            shape: claim.map_or(0, |claim| claim.shape),
+            lost_ms,
+        };
+        let job = job.spec.id;
+        self.counts.stopped += 1;
+        let cause = Cause::Reclaimed;
+        self.out.push(Decision::Stop {
+            job,
+            cause,
+            grace_ms: RECLAIM_GRACE_MS,
+            reason,
+        });
+    }
+
+    /// Meets memory overuse: throttles the worst gang of a crowded worker, stops it the next time.
+    pub(super) fn usage(&mut self, usage: &[event::Usage]) {
+        let mut workers: Vec<fleet::Key> = usage.iter().map(|entry| entry.worker).collect();
+        workers.sort_unstable();
+        workers.dedup();
+        for worker in workers {
+            let here: Vec<&event::Usage> = usage
+                .iter()
+                .filter(|entry| entry.worker == worker)
+                .collect();
+            let sum: u64 = here.iter().map(|entry| u64::from(entry.memory_gb)).sum();
+            let Some(total) = self.fleet.get(worker).map(|worker| worker.total) else {
+                continue;
+            };
+            if sum * 100 < u64::from(total.memory_gb) * MEMORY_PRESSURE_PERCENT {
+                continue;
+            }
+            let worst = here.iter().filter_map(|entry| self.overuse(entry));
+            if let Some((key, used, declared)) =
+                worst.max_by_key(|(_key, used, declared)| used.saturating_sub(*declared))
+            {
+                self.curb(key, used, declared);
+            }
+        }
+    }
+
+    fn overuse(&self, entry: &event::Usage) -> Option<(JobKey, u32, u32)> {
+        let key = *self.ids.get(&entry.job)?;
+        let job = &self.jobs[key];
+        let State::Running { placement } = &job.state else {
+            return None;
+        };
+        let member = placement
+            .members
+            .iter()
+            .find(|member| member.worker == entry.worker)?;
+        let declared = job.spec.each.memory_gb * member.tasks;
+        (entry.memory_gb > declared).then_some((key, entry.memory_gb, declared))
+    }
+
+    fn curb(&mut self, key: JobKey, used: u32, declared: u32) {
+        let job = &mut self.jobs[key];
+        let id = job.spec.id;
+        let reason = Reason::Overuse {
+            used_gb: used,
+            declared_gb: declared,
+        };
+        if !job.throttled {
+            job.throttled = true;
+            self.out.push(Decision::Throttle { job: id, reason });
+            return;
+        }
+        let State::Running { placement } = &mut job.state else {
+            return;
+        };
+        let placement = std::mem::take(placement);
+        // The next attempt asks for what this one was seen to use.
+        let grown =
+            u64::from(job.spec.each.memory_gb) * u64::from(used) / u64::from(declared.max(1));
+        job.spec.each.memory_gb = job
+            .spec
+            .each
+            .memory_gb
+            .max(u32::try_from(grown).unwrap_or(u32::MAX));
+        job.state = State::Stopping {
+            placement,
+            cause: Cause::Overuse,
+        };
+        self.counts.stopped += 1;
+        let cause = Cause::Overuse;
+        self.out.push(Decision::Stop {
+            job: id,
+            cause,
+            grace_ms: RECLAIM_GRACE_MS,
+            reason,
+        });
+    }
+
+    /// Guaranteed gangs of an account that lack workers.
+    pub fn shortfall_of(&self, account: &str) -> Option<&guarantee::Shortfall> {
+        self.shortfalls
+            .iter()
+            .find(|shortfall| shortfall.account == account)
+    }
+}
--- /dev/null
+++ b/src/sched/estimate.rs
@@ -0,0 +1,82 @@
+//! Run times learned from history, because declared ones are far off.
+//!
+//! Run times spread over orders of magnitude, so means are taken of their logarithms. A running job
+//! that outlives its estimate is expected to need half as long again as it has run, as in Tsafrir,
+//! Etsion and Feitelson, "Backfilling using system-generated predictions", TPDS 18(6), 2007.
+
+use crate::map;
+use crate::sched::Millis;
+
+/// Weight of a new observation once enough have been seen.
+const ALPHA: f64 = 0.1;
+
+/// Observations from which history alone decides.
+const ENOUGH: f64 = 3.0;
+
+/// Key of an account's service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Key(u32);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Mean {
+    count: f64,
+    value: f64,
+}
+
+impl Mean {
+    fn add(&mut self, sample: f64) {
+        self.count += 1.0;
+        self.value += (sample - self.value) * (1.0 / self.count).max(ALPHA);
+    }
+}
+
+/// What was learned of run times.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    keys: map::Map<(String, String), Key>,
+    /// Logarithm of the run time in milliseconds.
+    run: Vec<Mean>,
+    /// Logarithm of run time over declared time, over all jobs.
+    ratio: Mean,
+}
+
+impl Book {
+    /// Key of an account's service, made if new.
+    pub fn key(&mut self, account: &str, service: &str) -> Key {
+        let index = (account.to_owned(), service.to_owned());
+        if let Some(key) = self.keys.get(&index) {
+            return *key;
+        }
+        let key = Key(self.run.len() as u32);
+        self.run.push(Mean::default());
+        self.keys.insert(index, key);
+        key
+    }
+
+    /// Learns from a job that was done.
+    pub fn learn(&mut self, key: Key, declared_ms: Millis, run_ms: Millis) {
+        let run = (run_ms.max(1)) as f64;
+        let declared = (declared_ms.max(1)) as f64;
+        self.run[key.0 as usize].add(run.ln());
+        self.ratio.add((run / declared).ln());
+    }
+
+    /// Expected run time of a job.
+    pub fn run_ms(&self, key: Key, declared_ms: Millis) -> Millis {
+        let seen = self.run[key.0 as usize];
+        let prior = ((declared_ms.max(1)) as f64).ln() + self.ratio.value;
+        let trust = (seen.count / ENOUGH).min(1.0);
+        let expected = prior * (1.0 - trust) + seen.value * trust;
+        expected.exp().round().max(1.0) as Millis
+    }
+}
+
+/// Expected time until a running job ends.
+pub fn rest_ms(expected_ms: Millis, started_ms: Millis, now: Millis) -> Millis {
+    let ran = now.saturating_sub(started_ms);
+    if ran < expected_ms {
+        expected_ms - ran
+    } else {
+        (ran / 2).max(1)
+    }
+}
--- /dev/null
+++ b/src/sched/guarantee.rs
@@ -0,0 +1,587 @@
+//! Guaranteed gangs and the concrete cells that each is bound to.
+//!
+//! Every guaranteed gang owns cells on healthy workers, whether a job uses them or not. The cells
+//! on a worker never exceed its resources, so all unclaimed gangs fit at the same time on what is
+//! free or borrowed: the binding itself is the proof. Borrowed gangs run wherever there is room and
+//! are reclaimed when a claim needs their place. As in HiveD, unused bindings move, when a worker
+//! fails or when a move spares a reclaim.
+
+mod claim;
+
+use crate::config::{self, Resources, Within};
+use crate::map;
+use crate::sched::bind;
+use crate::sched::event;
+use crate::sched::fleet;
+
+pub use claim::Plan;
+
+/// Steps of the exhaustive search that is made when packing in order fails.
+const SEARCH_STEPS: u32 = 20_000;
+
+/// A share of one worker that belongs to a guaranteed gang.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cell {
+    pub worker: Option<fleet::Key>,
+    pub used: Resources,
+}
+
+/// One guaranteed gang.
+#[derive(Clone, Debug)]
+pub struct Gang {
+    pub account: String,
+    pub shape: u32,
+    pub number: u32,
+    pub form: config::Shape,
+    pub cells: Vec<Cell>,
+}
+
+impl Gang {
+    /// Whether any cell is in use.
+    pub fn is_used(&self) -> bool {
+        self.cells.iter().any(|cell| !cell.used.is_zero())
+    }
+
+    /// Whether a cell has no worker.
+    pub fn is_short(&self) -> bool {
+        self.cells.iter().any(|cell| cell.worker.is_none())
+    }
+
+    fn need(&self, fleet: &fleet::Fleet) -> bind::Need {
+        let region = self.form.region.as_deref();
+        let region = region.map(|name| fleet.find_region(name).map_or(u32::MAX, |key| key.0));
+        bind::need(&self.form, region)
+    }
+}
+
+/// Gangs of an account's shape that lack a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Shortfall {
+    pub account: String,
+    pub shape: u32,
+    pub gangs: u32,
+}
+
+/// All guaranteed gangs.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    gangs: Vec<Gang>,
+    by_account: map::Map<String, Vec<usize>>,
+}
+
+/// Workers in the order that the packing uses.
+struct Sites {
+    keys: Vec<fleet::Key>,
+    pool: bind::Pool,
+}
+
+impl Book {
+    /// All guaranteed gangs.
+    pub fn gangs(&self) -> &[Gang] {
+        &self.gangs
+    }
+
+    /// Whether an account holds any guarantee.
+    pub fn holds(&self, account: &str) -> bool {
+        self.by_account.contains_key(account)
+    }
+
+    /// Takes over a configuration; returns the cells in use that are no longer guaranteed.
+    pub fn configure(
+        &mut self,
+        fleet: &mut fleet::Fleet,
+        config: &config::Config,
+    ) -> Vec<(String, u32, u32)> {
+        let mut old: map::Map<(String, u32, u32), Gang> = map::Map::default();
+        let mut order = Vec::new();
+        for gang in std::mem::take(&mut self.gangs) {
+            let key = (gang.account.clone(), gang.shape, gang.number);
+            order.push(key.clone());
+            old.insert(key, gang);
+        }
+        self.by_account.clear();
+        for (name, account) in &config.accounts {
+            for (shape, form) in account.shapes.iter().enumerate() {
+                for number in 0..form.count {
+                    self.carry_over(&mut old, name, shape as u32, number, form);
+                }
+            }
+        }
+        let mut dropped = Vec::new();
+        for key in order {
+            let Some(gang) = old.remove(&key) else {
+                continue;
+            };
+            if gang.is_used() {
+                dropped.push(key);
+            }
+            release_cells(fleet, &gang);
+        }
+        self.bind_missing(fleet);
+        dropped
+    }
+
+    fn carry_over(
+        &mut self,
+        old: &mut map::Map<(String, u32, u32), Gang>,
+        account: &str,
+        shape: u32,
+        number: u32,
+        form: &config::Shape,
+    ) {
+        let key = (account.to_owned(), shape, number);
+        let alike = |gang: &Gang| {
+            config::Shape {
+                count: form.count,
+                ..gang.form.clone()
+            } == *form
+        };
+        let gang = match old.remove(&key) {
+            Some(gang) if alike(&gang) => Gang {
+                form: form.clone(),
+                ..gang
+            },
+            other => {
+                if let Some(gang) = other {
+                    old.insert(key, gang);
+                }
+                Gang {
+                    account: account.to_owned(),
+                    shape,
+                    number,
+                    form: form.clone(),
+                    cells: vec![Cell::default(); form.workers as usize],
+                }
+            }
+        };
+        self.by_account
+            .entry(account.to_owned())
+            .or_default()
+            .push(self.gangs.len());
+        self.gangs.push(gang);
+    }
+
+    /// Takes cells off a worker that no longer takes gangs; cells in use stay while it is not down.
+    pub fn worker_unfit(&mut self, fleet: &mut fleet::Fleet, key: fleet::Key, down: bool) {
+        for gang in &mut self.gangs {
+            let each = gang.form.each;
+            for cell in &mut gang.cells {
+                if cell.worker == Some(key) && (down || cell.used.is_zero()) {
+                    unbind(fleet, cell, each);
+                }
+            }
+        }
+        self.bind_missing(fleet);
+    }
+
+    /// Takes a worker's unused cells off when it has come back smaller, and binds what is missing.
+    pub fn worker_fit(&mut self, fleet: &mut fleet::Fleet, key: fleet::Key) {
+        let shrunk = fleet
+            .get(key)
+            .is_some_and(|worker| !worker.total.fits(&worker.bound));
+        if shrunk {
+            self.worker_unfit(fleet, key, false);
+        } else {
+            self.bind_missing(fleet);
+        }
+    }
+
+    /// Adds a running gang's use to its cells.
+    pub fn take(
+        &mut self,
+        fleet: &mut fleet::Fleet,
+        account: &str,
+        claims: &[event::Claim],
+        each: Resources,
+    ) {
+        self.each_cell(account, claims, |cell, tasks| {
+            let amount = each.scaled(tasks);
+            cell.used += amount;
+            if let Some(worker) = cell.worker.and_then(|key| fleet.get_mut(key)) {
+                worker.claimed += amount;
+            }
+        });
+        self.refresh_blocked(fleet);
+    }
+
+    /// Removes a gang's use from its cells.
+    pub fn release(
+        &mut self,
+        fleet: &mut fleet::Fleet,
+        account: &str,
+        claims: &[event::Claim],
+        each: Resources,
+    ) {
+        self.each_cell(account, claims, |cell, tasks| {
+            let amount = each.scaled(tasks);
+            cell.used -= amount;
+            if let Some(worker) = cell.worker.and_then(|key| fleet.get_mut(key)) {
+                worker.claimed -= amount;
+            }
+        });
+        let short = |at: &usize| self.gangs[*at].is_short() && !self.gangs[*at].is_used();
+        let at_rest = self
+            .by_account
+            .get(account)
+            .is_some_and(|own| own.iter().any(short));
+        if at_rest {
+            self.bind_missing(fleet);
+        } else {
+            self.unbind_unfit(fleet);
+            self.refresh_blocked(fleet);
+        }
+    }
+
+    fn each_cell(
+        &mut self,
+        account: &str,
+        claims: &[event::Claim],
+        mut apply: impl FnMut(&mut Cell, u32),
+    ) {
+        for claim in claims {
+            let found = self.find(account, claim);
+            let Some(at) = found else { continue };
+            for (cell, tasks) in self.gangs[at].cells.iter_mut().zip(&claim.tasks) {
+                if *tasks > 0 {
+                    apply(cell, *tasks);
+                }
+            }
+        }
+    }
+
+    /// Moves unused cells off workers that are in quarantine.
+    fn unbind_unfit(&mut self, fleet: &mut fleet::Fleet) {
+        let unfit = |cell: &Cell| {
+            let state = cell
+                .worker
+                .and_then(|key| fleet.get(key))
+                .map(|worker| worker.state);
+            state.is_some_and(|state| state != fleet::State::Up) && cell.used.is_zero()
+        };
+        let any = self.gangs.iter().any(|gang| gang.cells.iter().any(unfit));
+        if !any {
+            return;
+        }
+        for gang in &mut self.gangs {
+            let each = gang.form.each;
+            for cell in &mut gang.cells {
+                let key = cell.worker.filter(|_key| cell.used.is_zero());
+                let state = key
+                    .and_then(|key| fleet.get(key))
+                    .map(|worker| worker.state);
+                if state.is_some_and(|state| state != fleet::State::Up) {
+                    unbind(fleet, cell, each);
+                }
+            }
+        }
+        self.bind_missing(fleet);
+    }
+
+    /// Puts gangs' cells on the workers that the ledger recorded; false when one no longer exists.
+    pub fn restore(
+        &mut self,
+        fleet: &mut fleet::Fleet,
+        account: &str,
+        claims: &[event::Claim],
+    ) -> bool {
+        let found: Vec<usize> = claims
+            .iter()
+            .filter_map(|claim| self.find(account, claim))
+            .collect();
+        if found.len() != claims.len() {
+            return false;
+        }
+        for (at, claim) in found.into_iter().zip(claims) {
+            let gang = &mut self.gangs[at];
+            if gang.is_used() {
+                continue;
+            }
+            let each = gang.form.each;
+            for (cell, worker) in gang.cells.iter_mut().zip(&claim.workers) {
+                unbind(fleet, cell, each);
+                if let Some(key) = worker {
+                    bind_cell(fleet, cell, *key, each);
+                }
+            }
+        }
+        true
+    }
+
+    fn find(&self, account: &str, claim: &event::Claim) -> Option<usize> {
+        let own = self.by_account.get(account)?;
+        own.iter().copied().find(|at| {
+            let gang = &self.gangs[*at];
+            gang.shape == claim.shape
+                && gang.number == claim.number
+                && gang.cells.len() == claim.workers.len()
+        })
+    }
+
+    /// Moves unused cells until no worker holds more than it has, then binds what is missing.
+    pub fn settle(&mut self, fleet: &mut fleet::Fleet) {
+        for gang in &mut self.gangs {
+            if gang.is_used() {
+                continue;
+            }
+            let each = gang.form.each;
+            for cell in &mut gang.cells {
+                let key = cell.worker.and_then(|key| fleet.get(key));
+                if key.is_some_and(|worker| !worker.total.fits(&worker.bound)) {
+                    unbind(fleet, cell, each);
+                }
+            }
+        }
+        self.bind_missing(fleet);
+    }
+
+    /// Binds gangs that lack cells; moves other unused ones when there is no other way.
+    pub fn bind_missing(&mut self, fleet: &mut fleet::Fleet) {
+        let missing: Vec<usize> = (0..self.gangs.len())
+            .filter(|at| self.gangs[*at].is_short())
+            .collect();
+        if missing.is_empty() {
+            self.refresh_blocked(fleet);
+            return;
+        }
+        let idle: Vec<usize> = missing
+            .iter()
+            .copied()
+            .filter(|at| !self.gangs[*at].is_used())
+            .collect();
+        if !self.bind_all(fleet, &idle) {
+            let all: Vec<usize> = (0..self.gangs.len())
+                .filter(|at| !self.gangs[*at].is_used())
+                .collect();
+            self.rebind(fleet, &all);
+        }
+        for at in missing {
+            self.bind_part(fleet, at);
+        }
+        self.refresh_blocked(fleet);
+    }
+
+    /// Binds unused gangs as far as they fit; false when one does not.
+    fn bind_all(&mut self, fleet: &mut fleet::Fleet, which: &[usize]) -> bool {
+        for at in which {
+            self.unbind_gang(fleet, *at);
+        }
+        let sites = sites(fleet, |worker| worker.bindable());
+        let needs: Vec<bind::Need> = which.iter().map(|at| self.gangs[*at].need(fleet)).collect();
+        let placed = bind::pack(&sites.pool, &needs);
+        let whole = placed.iter().all(Option::is_some);
+        self.put(fleet, which, &sites.keys, placed);
+        whole
+    }
+
+    /// Packs the given unused gangs anew, searching exhaustively for a while if need be.
+    fn rebind(&mut self, fleet: &mut fleet::Fleet, which: &[usize]) {
+        let before: Vec<Vec<Cell>> = which
+            .iter()
+            .map(|at| self.gangs[*at].cells.clone())
+            .collect();
+        let bound = before
+            .iter()
+            .filter(|cells| cells.iter().all(|cell| cell.worker.is_some()));
+        let bound = bound.count();
+        for at in which {
+            self.unbind_gang(fleet, *at);
+        }
+        let sites = sites(fleet, |worker| worker.bindable());
+        let needs: Vec<bind::Need> = which.iter().map(|at| self.gangs[*at].need(fleet)).collect();
+        let mut placed = bind::pack(&sites.pool, &needs);
+        if placed.iter().any(Option::is_none)
+            && let Some(found) = bind::search(&sites.pool, &needs, SEARCH_STEPS)
+        {
+            placed = found.into_iter().map(Some).collect();
+        }
+        if placed.iter().filter(|cells| cells.is_some()).count() > bound {
+            self.put(fleet, which, &sites.keys, placed);
+            return;
+        }
+        for (at, cells) in which.iter().zip(before) {
+            let each = self.gangs[*at].form.each;
+            for (cell, old) in self.gangs[*at].cells.iter_mut().zip(cells) {
+                if let Some(key) = old.worker {
+                    bind_cell(fleet, cell, key, each);
+                }
+            }
+        }
+    }
+
+    fn put(
+        &mut self,
+        fleet: &mut fleet::Fleet,
+        which: &[usize],
+        keys: &[fleet::Key],
+        placed: Vec<Option<Vec<usize>>>,
+    ) {
+        for (at, sites) in which.iter().zip(placed) {
+            let gang = &mut self.gangs[*at];
+            let each = gang.form.each;
+            for (cell, site) in gang.cells.iter_mut().zip(sites.unwrap_or_default()) {
+                bind_cell(fleet, cell, keys[site], each);
+            }
+        }
+    }
+
+    /// Binds what can be bound of a gang that does not fit whole.
+    fn bind_part(&mut self, fleet: &mut fleet::Fleet, at: usize) {
+        let gang = &self.gangs[at];
+        if !gang.is_short() {
+            return;
+        }
+        let missing = gang
+            .cells
+            .iter()
+            .filter(|cell| cell.worker.is_none())
+            .count() as u32;
+        let anchor = gang.cells.iter().find_map(|cell| cell.worker);
+        if anchor.is_none() && gang.is_used() {
+            // All its workers are lost and its jobs have not ended yet.
+            return;
+        }
+        let scope = anchor
+            .and_then(|key| fleet.get(key))
+            .map(|worker| (worker.region, worker.rack));
+        let within = gang.form.within;
+        let reach = |key: fleet::Key, worker: &fleet::Worker| match (within, scope) {
+            (_, None) => true,
+            (Within::Worker, Some(_)) => Some(key) == anchor,
+            (Within::Rack, Some((_region, rack))) => worker.rack == rack,
+            (Within::Region, Some((region, _rack))) => worker.region == region,
+        };
+        let mut sites = sites_where(fleet, reach, |worker| worker.bindable());
+        let need = bind::Need {
+            workers: missing,
+            ..gang.need(fleet)
+        };
+        let placed = match sites.pool.place(&need) {
+            Some(placed) => placed.into_iter().map(Some).collect(),
+            None => sites.pool.place_part(&need),
+        };
+        let gang = &mut self.gangs[at];
+        let each = gang.form.each;
+        let open = gang.cells.iter_mut().filter(|cell| cell.worker.is_none());
+        for (cell, site) in open.zip(placed) {
+            // A cell whose lost worker still runs a task cannot move before the task has ended.
+            if let Some(site) = site.filter(|_site| cell.used.is_zero()) {
+                bind_cell(fleet, cell, sites.keys[site], each);
+            }
+        }
+    }
+
+    fn unbind_gang(&mut self, fleet: &mut fleet::Fleet, at: usize) {
+        let each = self.gangs[at].form.each;
+        for cell in &mut self.gangs[at].cells {
+            unbind(fleet, cell, each);
+        }
+    }
+
+    /// Recomputes what must not be lent because a gang has lost other cells.
+    fn refresh_blocked(&self, fleet: &mut fleet::Fleet) {
+        let keys: Vec<fleet::Key> = fleet
+            .iter()
+            .filter(|(_key, worker)| !worker.blocked.is_zero())
+            .map(|(key, _worker)| key)
+            .collect();
+        for key in keys {
+            if let Some(worker) = fleet.get_mut(key) {
+                worker.blocked = Resources::default();
+            }
+        }
+        for gang in self.gangs.iter().filter(|gang| gang.is_short()) {
+            for cell in &gang.cells {
+                if let Some(worker) = cell.worker.and_then(|key| fleet.get_mut(key)) {
+                    worker.blocked += gang.form.each.less(&cell.used);
+                }
+            }
+        }
+    }
+
+    /// Gangs that lack a worker, by account and shape.
+    pub fn shortfalls(&self) -> Vec<Shortfall> {
+        let mut found: Vec<Shortfall> = Vec::new();
+        for gang in self.gangs.iter().filter(|gang| gang.is_short()) {
+            match found.last_mut() {
+                Some(last) if last.account == gang.account && last.shape == gang.shape => {
+                    last.gangs += 1;
+                }
+                _ => found.push(Shortfall {
+                    account: gang.account.clone(),
+                    shape: gang.shape,
+                    gangs: 1,
+                }),
+            }
+        }
+        found
+    }
+}
+
+fn bind_cell(fleet: &mut fleet::Fleet, cell: &mut Cell, key: fleet::Key, each: Resources) {
+    let Some(worker) = fleet.get_mut(key) else {
+        return;
+    };
+    cell.worker = Some(key);
+    worker.bound += each;
+    worker.claimed += cell.used;
+}
+
+fn unbind(fleet: &mut fleet::Fleet, cell: &mut Cell, each: Resources) {
+    let Some(key) = cell.worker.take() else {
+        return;
+    };
+    if let Some(worker) = fleet.get_mut(key) {
+        worker.bound -= each;
+        worker.claimed -= cell.used;
+    }
+}
+
+fn release_cells(fleet: &mut fleet::Fleet, gang: &Gang) {
+    for cell in &gang.cells {
+        let mut cell = *cell;
+        unbind(fleet, &mut cell, gang.form.each);
+    }
+}
+
+fn sites(fleet: &fleet::Fleet, free: impl Fn(&fleet::Worker) -> Resources) -> Sites {
+    sites_where(fleet, |_key, _worker| true, free)
+}
+
+fn sites_where(
+    fleet: &fleet::Fleet,
+    admits: impl Fn(fleet::Key, &fleet::Worker) -> bool,
+    free: impl Fn(&fleet::Worker) -> Resources,
+) -> Sites {
+    let mut keys = Vec::new();
+    let mut slots = Vec::new();
+    for region in fleet.regions() {
+        for rack in &region.racks {
+            for key in &fleet.rack(*rack).workers {
+                let Some(worker) = fleet.get(*key) else {
+                    continue;
+                };
+                if worker.state != fleet::State::Up || !admits(*key, worker) {
+                    continue;
+                }
+                let busy = worker.used.less(&worker.claimed).accelerators;
+                let free = free(worker);
+                keys.push(*key);
+                slots.push(bind::Slot {
+                    region: worker.region.0,
+                    rack: rack.0,
+                    free,
+                    busy,
+                });
+            }
+        }
+    }
+    // Racks were numbered as workers appeared, so a region's racks may not be in order.
+    let mut order: Vec<usize> = (0..slots.len()).collect();
+    order.sort_by_key(|at| (slots[*at].region, slots[*at].rack));
+    let sorted = order.iter().map(|at| slots[*at]).collect();
+    let keys = order.iter().map(|at| keys[*at]).collect();
+    Sites {
+        keys,
+        pool: bind::Pool::new(sorted),
+    }
+}
--- /dev/null
+++ b/src/sched/guarantee/claim.rs
@@ -0,0 +1,312 @@
+//! Finding cells for a job under its account's guarantee.
+
+use crate::config::{Resources, Within};
+use crate::map;
+use crate::sched::event;
+use crate::sched::fleet;
+use crate::sched::guarantee::{Book, Gang, bind_cell, sites_where};
+
+/// Cells for a job, and what others must vacate.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    pub placement: event::Placement,
+    /// Resources that must be vacated, by worker.
+    pub missing: Vec<(fleet::Key, Resources)>,
+}
+
+impl Plan {
+    /// Accelerators, then processors, to be vacated.
+    pub fn cost(&self) -> (u32, u32) {
+        let accelerators = self
+            .missing
+            .iter()
+            .map(|(_key, amount)| amount.accelerators)
+            .sum();
+        let cpus = self
+            .missing
+            .iter()
+            .map(|(_key, amount)| amount.cpus.max(amount.memory_gb));
+        (accelerators, cpus.sum())
+    }
+}
+
+/// Room for tasks in one cell.
+#[derive(Clone, Copy, Debug)]
+struct Offer {
+    scope: u32,
+    gang: usize,
+    cell: usize,
+    worker: fleet::Key,
+    times: u32,
+    /// Tasks that fit without vacating anything.
+    free_times: u32,
+    fresh: bool,
+}
+
+impl Book {
+    /// Finds the cells for a job that make the fewest others leave.
+    pub fn plan(
+        &self,
+        fleet: &fleet::Fleet,
+        spec: &event::Spec,
+        regions: &[fleet::RegionKey],
+    ) -> Option<Plan> {
+        let mut offers = self.offers(fleet, spec, regions);
+        offers.sort_by_key(|offer| offer.scope);
+        let scopes = offers.chunk_by(|a, b| a.scope == b.scope);
+        let plans = scopes.filter_map(|scope| self.fill(fleet, spec, scope));
+        plans
+            .min_by_key(|(plan, fresh)| (plan.cost(), *fresh))
+            .map(|(plan, _fresh)| plan)
+    }
+
+    fn offers(
+        &self,
+        fleet: &fleet::Fleet,
+        spec: &event::Spec,
+        regions: &[fleet::RegionKey],
+    ) -> Vec<Offer> {
+        let mut offers = Vec::new();
+        let Some(own) = self.by_account.get(&spec.account) else {
+            return offers;
+        };
+        for at in own {
+            let gang = &self.gangs[*at];
+            let fresh = !gang.is_used();
+            for (cell_at, cell) in gang.cells.iter().enumerate() {
+                let Some(key) = cell.worker else { continue };
+                let Some(worker) = fleet.get(key) else {
+                    continue;
+                };
+                let fit = worker.state == fleet::State::Up && regions.contains(&worker.region);
+                let times = gang
+                    .form
+                    .each
+                    .less(&cell.used)
+                    .times(&spec.each, spec.tasks);
+                if !fit || times == 0 {
+                    continue;
+                }
+                let scope = match spec.within {
+                    Within::Worker => key.0,
+                    Within::Rack => worker.rack.0,
+                    Within::Region => worker.region.0,
+                };
+                let free_times = worker.free().times(&spec.each, times);
+                offers.push(Offer {
+                    scope,
+                    gang: *at,
+                    cell: cell_at,
+                    worker: key,
+                    times,
+                    free_times,
+                    fresh,
+                });
+            }
+        }
+        offers
+    }
+
+    /// Puts the tasks into the cells of one scope; also tells how many idle gangs that opens.
+    fn fill(
+        &self,
+        fleet: &fleet::Fleet,
+        spec: &event::Spec,
+        scope: &[Offer],
+    ) -> Option<(Plan, usize)> {
+        if scope.iter().map(|offer| offer.times).sum::<u32>() < spec.tasks {
+            return None;
+        }
+        let mut order: Vec<&Offer> = scope.iter().collect();
+        order.sort_by_key(|offer| {
+            (
+                offer.times - offer.free_times,
+                offer.fresh,
+                offer.gang,
+                offer.cell,
+            )
+        });
+        let mut left = spec.tasks;
+        let mut chosen: Vec<(&Offer, u32)> = Vec::new();
+        for offer in order {
+            let tasks = offer.times.min(left);
+            left -= tasks;
+            chosen.push((offer, tasks));
+            if left == 0 {
+                break;
+            }
+        }
+        let mut fresh: Vec<usize> = chosen
+            .iter()
+            .filter(|(offer, _)| offer.fresh)
+            .map(|(offer, _)| offer.gang)
+            .collect();
+        fresh.sort_unstable();
+        fresh.dedup();
+        Some((self.write_plan(fleet, spec, &chosen), fresh.len()))
+    }
+
+    fn write_plan(
+        &self,
+        fleet: &fleet::Fleet,
+        spec: &event::Spec,
+        chosen: &[(&Offer, u32)],
+    ) -> Plan {
+        let mut members: Vec<event::Member> = Vec::new();
+        let mut claims: Vec<(usize, event::Claim)> = Vec::new();
+        for (offer, tasks) in chosen {
+            match members
+                .iter_mut()
+                .find(|member| member.worker == offer.worker)
+            {
+                Some(member) => member.tasks += tasks,
+                None => members.push(event::Member {
+                    worker: offer.worker,
+                    tasks: *tasks,
+                }),
+            }
+            if !claims.iter().any(|(gang, _claim)| *gang == offer.gang) {
+                claims.push((offer.gang, blank(&self.gangs[offer.gang])));
+            }
+            for (_gang, claim) in claims.iter_mut().filter(|(gang, _)| *gang == offer.gang) {
+                claim.tasks[offer.cell] += tasks;
+            }
+        }
+        let mut missing = Vec::new();
+        for member in &members {
+            let Some(worker) = fleet.get(member.worker) else {
+                continue;
+            };
+            let short = spec.each.scaled(member.tasks).less(&worker.free());
+            if !short.is_zero() {
+                missing.push((member.worker, short));
+            }
+        }
+        let claims = claims.into_iter().map(|(_gang, claim)| claim).collect();
+        Plan {
+            placement: event::Placement { members, claims },
+            missing,
+        }
+    }
+
+    /// Moves one of the account's unused gangs to where nobody has to leave; false if none can.
+    pub fn relocate(
+        &mut self,
+        fleet: &mut fleet::Fleet,
+        spec: &event::Spec,
+        regions: &[fleet::RegionKey],
+    ) -> bool {
+        let Some(own) = self.by_account.get(&spec.account).cloned() else {
+            return false;
+        };
+        let mut tried: Vec<u32> = Vec::new();
+        for at in own {
+            let gang = &self.gangs[at];
+            if gang.is_used() || !holds(gang, spec) || tried.contains(&gang.shape) {
+                continue;
+            }
+            tried.push(gang.shape);
+            if self.move_to_free(fleet, at, regions) || self.swap(fleet, at, regions) {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn move_to_free(
+        &mut self,
+        fleet: &mut fleet::Fleet,
+        at: usize,
+        regions: &[fleet::RegionKey],
+    ) -> bool {
+        let each = self.gangs[at].form.each;
+        let old: Vec<Option<fleet::Key>> = self.gangs[at]
+            .cells
+            .iter()
+            .map(|cell| cell.worker)
+            .collect();
+        self.unbind_gang(fleet, at);
+        let admits = |_key: fleet::Key, worker: &fleet::Worker| regions.contains(&worker.region);
+        let free = |worker: &fleet::Worker| worker.bindable().min(&worker.free());
+        let mut sites = sites_where(fleet, admits, free);
+        let found = sites.pool.place(&self.gangs[at].need(fleet));
+        let moved = found.is_some();
+        let to: Vec<Option<fleet::Key>> = match found {
+            Some(slots) => slots
+                .into_iter()
+                .map(|slot| Some(sites.keys[slot]))
+                .collect(),
+            None => old,
+        };
+        for (cell, key) in self.gangs[at].cells.iter_mut().zip(to) {
+            if let Some(key) = key {
+                bind_cell(fleet, cell, key, each);
+            }
+        }
+        moved
+    }
+
+    /// Exchanges the cells of two unused gangs of the same form when the other's are free.
+    fn swap(&mut self, fleet: &mut fleet::Fleet, at: usize, regions: &[fleet::RegionKey]) -> bool {
+        let found = (0..self.gangs.len()).find(|other| {
+            *other != at && self.may_swap(fleet, at, *other) && self.is_free(fleet, *other, regions)
+        });
+        let Some(other) = found else { return false };
+        for cell in 0..self.gangs[at].cells.len() {
+            let mine = self.gangs[at].cells[cell].worker;
+            self.gangs[at].cells[cell].worker = self.gangs[other].cells[cell].worker;
+            self.gangs[other].cells[cell].worker = mine;
+        }
+        true
+    }
+
+    fn may_swap(&self, fleet: &fleet::Fleet, at: usize, other: usize) -> bool {
+        let (mine, theirs) = (&self.gangs[at], &self.gangs[other]);
+        let lies_in = |gang: &Gang, region: &Option<String>| {
+            region.as_deref().is_none_or(|name| {
+                let key = gang.cells.first().and_then(|cell| cell.worker);
+                let worker = key.and_then(|key| fleet.get(key));
+                worker.map(|worker| worker.region) == fleet.find_region(name)
+            })
+        };
+        !theirs.is_used()
+            && !theirs.is_short()
+            && !mine.is_short()
+            && mine.form.each == theirs.form.each
+            && mine.form.workers == theirs.form.workers
+            && mine.form.within == theirs.form.within
+            && lies_in(theirs, &mine.form.region)
+            && lies_in(mine, &theirs.form.region)
+    }
+
+    fn is_free(&self, fleet: &fleet::Fleet, at: usize, regions: &[fleet::RegionKey]) -> bool {
+        let gang = &self.gangs[at];
+        let mut need: map::Map<fleet::Key, u32> = map::Map::default();
+        for key in gang.cells.iter().filter_map(|cell| cell.worker) {
+            *need.entry(key).or_default() += 1;
+        }
+        need.iter().all(|(key, cells)| {
+            fleet.get(*key).is_some_and(|worker| {
+                worker.state == fleet::State::Up
+                    && regions.contains(&worker.region)
+                    && worker.free().fits(&gang.form.each.scaled(*cells))
+            })
+        })
+    }
+}
+
+/// Whether a job fits into one gang alone.
+fn holds(gang: &Gang, spec: &event::Spec) -> bool {
+    let times = gang.form.each.times(&spec.each, spec.tasks);
+    let narrow = gang.form.within <= spec.within;
+    times >= spec.tasks || narrow && times * gang.form.workers >= spec.tasks
+}
+
+fn blank(gang: &Gang) -> event::Claim {
+    event::Claim {
+        shape: gang.shape,
+        number: gang.number,
+        workers: gang.cells.iter().map(|cell| cell.worker).collect(),
+        tasks: vec![0; gang.cells.len()],
+    }
+}
--- /dev/null
+++ b/src/sched/health.rs
@@ -0,0 +1,149 @@
+//! Finds workers on which jobs fail that pass elsewhere.
+//!
+//! Every failed gang blames its members; a success clears them. A worker that failed several
+//! different jobs in a row is quarantined, and probed with growing pauses. A job that failed on
+//! several disjoint sets of workers is itself at fault, and its blame is withdrawn.
+
+use crate::map;
+use crate::sched::event;
+use crate::sched::fleet;
+use crate::sched::{JobId, Millis};
+
+/// Different jobs that must fail in a row on a worker.
+const FAILURES: usize = 3;
+
+/// Sets of workers on which a job may fail.
+pub const ATTEMPTS: u32 = 3;
+
+/// First pause before a probe.
+const PAUSE_MS: Millis = 30_000;
+
+/// Longest pause before a probe.
+const MAX_PAUSE_MS: Millis = 600_000;
+
+#[derive(Clone, Debug, Default)]
+struct Record {
+    /// Jobs that failed here since the last success.
+    blame: Vec<JobId>,
+    quarantine: Option<Quarantine>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Quarantine {
+    until_ms: Millis,
+    pause_ms: Millis,
+}
+
+/// Failure history of the workers.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    records: map::Map<fleet::Key, Record>,
+}
+
+impl Book {
+    /// Clears the workers of a gang that was done; returns those that leave quarantine.
+    pub fn passed(&mut self, members: &[event::Member]) -> Vec<fleet::Key> {
+        let mut recovered = Vec::new();
+        for member in members {
+            let Some(record) = self.records.remove(&member.worker) else {
+                continue;
+            };
+            if record.quarantine.is_some() {
+                recovered.push(member.worker);
+            }
+        }
+        recovered
+    }
+
+    /// Blames workers for a failed gang; returns those to quarantine, with failures and end.
+    pub fn failed(
+        &mut self,
+        job: JobId,
+        workers: &[fleet::Key],
+        now: Millis,
+    ) -> Vec<(fleet::Key, u32, Millis)> {
+        let mut unfit = Vec::new();
+        for worker in workers {
+            let record = self.records.entry(*worker).or_default();
+            if !record.blame.contains(&job) {
+                record.blame.push(job);
+            }
+            let failures = record.blame.len();
+            match &mut record.quarantine {
+                Some(quarantine) => {
+                    quarantine.pause_ms = (quarantine.pause_ms * 2).min(MAX_PAUSE_MS);
+                    quarantine.until_ms = now + quarantine.pause_ms;
+                }
+                None if failures >= FAILURES => {
+                    let until_ms = now + PAUSE_MS;
+                    record.quarantine = Some(Quarantine {
+                        until_ms,
+                        pause_ms: PAUSE_MS,
+                    });
+                    unfit.push((*worker, failures as u32, until_ms));
+                }
+                None => {}
+            }
+        }
+        unfit
+    }
+
+    /// Withdraws the blame for a job that fails everywhere; returns workers that are cleared by it.
+    pub fn withdraw(&mut self, job: JobId) -> Vec<fleet::Key> {
+        let mut cleared = Vec::new();
+        for (worker, record) in &mut self.records {
+            let before = record.blame.len();
+            record.blame.retain(|blamed| *blamed != job);
+            let innocent = record.blame.len() < before && record.blame.len() < FAILURES;
+            if innocent && record.quarantine.take().is_some() {
+                cleared.push(*worker);
+            }
+        }
+        cleared.sort_unstable();
+        cleared
+    }
+
+    /// Takes over a quarantine that the ledger knows of.
+    pub fn adopt(&mut self, worker: fleet::Key, now: Millis) {
+        let record = self.records.entry(worker).or_default();
+        record.quarantine = Some(Quarantine {
+            until_ms: now,
+            pause_ms: PAUSE_MS,
+        });
+    }
+
+    /// Whether a worker is in quarantine.
+    pub fn is_quarantined(&self, worker: fleet::Key) -> bool {
+        self.records
+            .get(&worker)
+            .is_some_and(|record| record.quarantine.is_some())
+    }
+
+    /// Quarantined workers whose next probe is due.
+    pub fn due(&self, now: Millis) -> Vec<fleet::Key> {
+        let is_due = |record: &Record| {
+            record
+                .quarantine
+                .is_some_and(|quarantine| quarantine.until_ms <= now)
+        };
+        let mut due: Vec<fleet::Key> = self
+            .records
+            .iter()
+            .filter(|(_worker, record)| is_due(record))
+            .map(|(worker, _record)| *worker)
+            .collect();
+        due.sort_unstable();
+        due
+    }
+
+    /// Puts off the next probe while one is running.
+    pub fn probing(&mut self, worker: fleet::Key, now: Millis) {
+        if let Some(quarantine) = self
+            .records
+            .get_mut(&worker)
+            .and_then(|record| record.quarantine.as_mut())
+        {
+            quarantine.until_ms = now + quarantine.pause_ms;
+        }
+    }
+}
--- /dev/null
+++ b/src/sched/measure.rs
@@ -0,0 +1,71 @@
+//! The fragmentation measure: free accelerators that the largest guaranteed shape cannot use.
+
+use crate::config::{self, Within};
+use crate::sched::fleet;
+
+/// Gangs of a shape that fit into what is free, counted scope by scope.
+pub fn gangs(fleet: &fleet::Fleet, shape: &config::Shape) -> u32 {
+    let region = match shape.region.as_deref().map(|name| fleet.find_region(name)) {
+        Some(None) => return 0,
+        Some(found) => found,
+        None => None,
+    };
+    let mut gangs = 0;
+    let mut of_region = vec![0_u32; fleet.regions().len()];
+    for rack in fleet.racks() {
+        if region.is_some_and(|region| region != rack.region) {
+            continue;
+        }
+        let times = |key: &fleet::Key| match fleet.get(*key) {
+            Some(worker) => worker.lendable().times(&shape.each, u32::MAX),
+            None => 0,
+        };
+        let cells: u32 = match shape.within {
+            Within::Worker => rack
+                .workers
+                .iter()
+                .map(|key| times(key) / shape.workers)
+                .sum(),
+            Within::Rack | Within::Region => rack.workers.iter().map(times).sum(),
+        };
+        match shape.within {
+            Within::Worker => gangs += cells,
+            Within::Rack => gangs += cells / shape.workers,
+            Within::Region => of_region[rack.region.0 as usize] += cells,
+        }
+    }
+    gangs
+        + of_region
+            .iter()
+            .map(|cells| cells / shape.workers)
+            .sum::<u32>()
+}
+
+/// Free accelerators on workers that take gangs.
+pub fn free(fleet: &fleet::Fleet) -> u32 {
+    fleet
+        .iter()
+        .map(|(_key, worker)| worker.lendable().accelerators)
+        .sum()
+}
+
+/// Share of free accelerators that the shape cannot use, from 0 to 1.
+pub fn fragmentation(fleet: &fleet::Fleet, shape: &config::Shape) -> f64 {
+    let free = free(fleet);
+    if free == 0 {
+        return 0.0;
+    }
+    let usable = gangs(fleet, shape) * shape.workers * shape.each.accelerators;
+    1.0 - f64::from(usable.min(free)) / f64::from(free)
+}
+
+/// The guaranteed shape with the most accelerators.
+pub fn largest(config: &config::Config) -> Option<&config::Shape> {
+    let shapes = config.accounts.values().flat_map(|account| &account.shapes);
+    shapes.max_by_key(|shape| {
+        (
+            shape.workers * shape.each.accelerators,
+            shape.each.accelerators,
+        )
+    })
+}
--- /dev/null
+++ b/src/serve/listen.rs
@@ -0,0 +1,165 @@
+//! The HTTP thread: accepts connections, reads whole requests, writes answers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::sync::{Semaphore, oneshot};
+use tokio::{net, time};
+
+use crate::error;
+use crate::serve::body::Never;
+use crate::serve::{Gate, Job, Request, Response, Result, problem};
+
+/// Most connections at a time; more wait in the listener's backlog.
+const MAX_CONNECTIONS: usize = 4_096;
+
+/// Time in which the headers of a request must have come.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time in which the body of a request must have come.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Pause after a failed accept, as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves until the process ends.
+pub(super) fn run(
+    addr: SocketAddr,
+    max_body_bytes: usize,
+    gate: Arc<Gate>,
+    jobs: channel::Sender<Job>,
+    ready: &channel::Sender<Result<SocketAddr>>,
+) {
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(err) => {
+            drop(ready.send(Err(err.into())));
+            return;
+        }
+    };
+    runtime.block_on(async {
+        let bound = match net::TcpListener::bind(addr).await {
+            Ok(listener) => listener.local_addr().map(|local| (listener, local)),
+            Err(err) => Err(err),
+        };
+        match bound {
+            Ok((listener, local)) => {
+                drop(ready.send(Ok(local)));
+                accept(
+                    listener,
+                    Front {
+                        max_body_bytes,
+                        gate,
+                        jobs,
+                    },
+                )
+                .await;
+            }
+            Err(err) => {
+                let detail = format!("listening on {addr}: {err}");
+                let err = error::Error::new(error::Kind::Unreachable, detail);
+                drop(ready.send(Err(err)));
+            }
+        }
+    });
+}
+
+/// What every connection shares.
+#[derive(Clone)]
+struct Front {
+    max_body_bytes: usize,
+    gate: Arc<Gate>,
+    jobs: channel::Sender<Job>,
+}
+
+async fn accept(listener: net::TcpListener, front: Front) {
+    let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((stream, _peer)) => {
+                drop(stream.set_nodelay(true));
+                let front = front.clone();
+                tokio::spawn(async move {
+                    connection(stream, front).await;
+                    drop(place);
+                });
+            }
+            Err(err) => {
+                log::warn!("accepting failed: {err}");
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(stream: net::TcpStream, front: Front) {
+    let service = service_fn(move |request| {
+        let front = front.clone();
+        async move { Ok::<_, Never>(front.answer(request).await) }
+    });
+    let served = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(err) = served {
+        log::debug!("connection ended: {err}");
+    }
+}
+
+impl Front {
+    async fn answer(&self, request: http::Request<Incoming>) -> Response {
+        let entered = self.gate.enter();
+        let result = match self.read(request).await {
+            Ok(request) => self.hand_over(request).await,
+            Err(err) => Err(err),
+        };
+        let mut response = result.unwrap_or_else(|err| problem(&err));
+        response.body_mut().entered = Some(entered);
+        response
+    }
+
+    async fn read(&self, request: http::Request<Incoming>) -> Result<Request> {
+        let (parts, body) = request.into_parts();
+        let limited = Limited::new(body, self.max_body_bytes).collect();
+        let read = time::timeout(BODY_TIMEOUT, limited).await;
+        let malformed = |detail: &str| error::Error::new(error::Kind::Malformed, detail);
+        let collected = match read {
+            Ok(Ok(collected)) => collected,
+            Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
+                let detail = format!("the body is over {} bytes", self.max_body_bytes);
+                return Err(error::Error::new(error::Kind::BodyTooLarge, detail));
+            }
+            Ok(Err(err)) => return Err(malformed(&format!("body: {err}"))),
+            Err(_elapsed) => return Err(malformed("the body did not come in time")),
+        };
+        Ok(http::Request::from_parts(parts, collected.to_bytes()))
+    }
+
+    async fn hand_over(&self, request: Request) -> Result<Response> {
+        let (answer, answered) = oneshot::channel();
+        self.jobs
+            .try_send(Job { request, answer })
+            .map_err(|_full| {
+                error::Error::new(
+                    error::Kind::Overloaded,
+                    "too many requests wait for a thread",
+                )
+            })?;
+        answered
+            .await
+            .map_err(|_dropped| error::Error::new(error::Kind::Internal, "the handler has failed"))
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,208 @@
+//! Settings of the daemons: flags and environment variables, checked at start.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::Args;
+
+use crate::agent;
+use crate::agent::answers;
+use crate::control;
+use crate::entry;
+
+/// Fewest characters of an operator token.
+const MIN_TOKEN: usize = 8;
+
+/// Time that a daemon takes to end requests in progress at shutdown.
+#[derive(Args, Clone, Debug)]
+pub struct Common {
+    /// Name of this instance; unique in the system
+    #[arg(long, env = "ORIOLEREEL_NAME", value_parser = name)]
+    pub name: String,
+    /// Region that this instance lies in
+    #[arg(long, env = "ORIOLEREEL_REGION", value_parser = name)]
+    pub region: String,
+    /// Log filter: error, warn, info, debug, or MODULE=LEVEL
+    #[arg(long, env = "ORIOLEREEL_LOG", default_value = "info")]
+    pub log: String,
+    /// Milliseconds to add to each direction of a message, for measurements
+    #[arg(long, env = "ORIOLEREEL_DELAY_MS", default_value_t = 0,
+          value_parser = clap::value_parser!(u64).range(0..=1_000), hide = true)]
+    pub delay_ms: u64,
+    /// Seconds to wait for requests in progress at shutdown
+    #[arg(long, env = "ORIOLEREEL_GRACE_S", default_value_t = 30,
+          value_parser = clap::value_parser!(u64).range(1..=3_600))]
+    pub grace_s: u64,
+}
+
+/// Settings of `oriolereel-control`.
+#[derive(Args, Clone, Debug)]
+pub struct Control {
+    #[command(flatten)]
+    pub common: Common,
+    /// Identity of this member, as given to `oriolereel init`
+    #[arg(long, env = "ORIOLEREEL_ID", value_parser = clap::value_parser!(u64).range(1..))]
+    pub id: u64,
+    /// Address for the system's own messages, IP:PORT; the other members must reach it
+    #[arg(long, env = "ORIOLEREEL_LISTEN")]
+    pub listen: SocketAddr,
+    /// Address for operators, health and metrics, IP:PORT
+    #[arg(long, env = "ORIOLEREEL_HTTP")]
+    pub http: SocketAddr,
+    /// Data folder, prepared with `oriolereel init`
+    #[arg(long, env = "ORIOLEREEL_DATA")]
+    pub data: PathBuf,
+    /// Token that operators must send; at least 8 characters
+    #[arg(long, env = "ORIOLEREEL_OPERATOR_TOKEN", value_parser = token, hide_env_values = true)]
+    pub operator_token: String,
+    /// Seconds to keep ended jobs and their idempotency keys
+    #[arg(long, env = "ORIOLEREEL_RETENTION_S", default_value_t = 86_400,
+          value_parser = clap::value_parser!(u64).range(60..=2_592_000))]
+    pub retention_s: u64,
+}
+
+/// Settings of `oriolereel-entry`.
+#[derive(Args, Clone, Debug)]
+pub struct Entry {
+    #[command(flatten)]
+    pub common: Common,
+    /// Address for callers, workers, health and metrics, IP:PORT
+    #[arg(long, env = "ORIOLEREEL_HTTP")]
+    pub http: SocketAddr,
+    /// Addresses of the control members, the nearest first, separated by commas
+    #[arg(
+        long,
+        env = "ORIOLEREEL_CONTROL",
+        value_delimiter = ',',
+        required = true
+    )]
+    pub control: Vec<SocketAddr>,
+    /// Requests in progress; one account may take a quarter of them
+    #[arg(long, env = "ORIOLEREEL_PLACES", default_value_t = 256,
+          value_parser = clap::value_parser!(u64).range(4..=4_096))]
+    pub places: u64,
+    /// Largest body of a request, in bytes
+    #[arg(long, env = "ORIOLEREEL_MAX_BODY_BYTES", default_value_t = 65_536,
+          value_parser = clap::value_parser!(u64).range(1..=1_048_576))]
+    pub max_body_bytes: u64,
+}
+
+/// Settings of `oriolereel-agent`.
+#[derive(Args, Clone, Debug)]
+pub struct Agent {
+    #[command(flatten)]
+    pub common: Common,
+    /// Address for the system's own messages, IP:PORT; entries must reach it
+    #[arg(long, env = "ORIOLEREEL_LISTEN")]
+    pub listen: SocketAddr,
+    /// Address for the target, workers, health and metrics, IP:PORT
+    #[arg(long, env = "ORIOLEREEL_HTTP")]
+    pub http: SocketAddr,
+    /// Addresses of the control members, the nearest first, separated by commas
+    #[arg(
+        long,
+        env = "ORIOLEREEL_CONTROL",
+        value_delimiter = ',',
+        required = true
+    )]
+    pub control: Vec<SocketAddr>,
+    /// Connections to the target
+    #[arg(long, env = "ORIOLEREEL_CONNECTIONS", default_value_t = 16,
+          value_parser = clap::value_parser!(u64).range(1..=64))]
+    pub connections: u64,
+    /// Largest answer, in bytes
+    #[arg(long, env = "ORIOLEREEL_MAX_ANSWER_BYTES", default_value_t = 4 << 20,
+          value_parser = clap::value_parser!(u64).range(1..=67_108_864))]
+    pub max_answer_bytes: u64,
+    /// Bytes of all answers kept until they are collected
+    #[arg(long, env = "ORIOLEREEL_ANSWER_BYTES", default_value_t = 12 << 20,
+          value_parser = clap::value_parser!(u64).range(1..=1_073_741_824))]
+    pub answer_bytes: u64,
+    /// Seconds to keep an answer that nobody collects
+    #[arg(long, env = "ORIOLEREEL_ANSWER_S", default_value_t = 3_600,
+          value_parser = clap::value_parser!(u64).range(1..=86_400))]
+    pub answer_s: u64,
+}
+
+impl Control {
+    /// Options of the member.
+    pub fn options(&self) -> control::daemon::Options {
+        control::daemon::Options {
+            id: self.id,
+            name: self.common.name.clone(),
+            region: self.common.region.clone(),
+            listen: self.listen,
+            http: self.http,
+            data: self.data.clone(),
+            operator_token: self.operator_token.clone(),
+            retention: Duration::from_secs(self.retention_s),
+            delay: Duration::from_millis(self.common.delay_ms),
+        }
+    }
+}
+
+impl Entry {
+    /// Options of the entry.
+    pub fn options(&self) -> entry::daemon::Options {
+        entry::daemon::Options {
+            name: self.common.name.clone(),
+            region: self.common.region.clone(),
+            http: self.http,
+            control: self.control.clone(),
+            places: self.places as usize,
+            max_body_bytes: self.max_body_bytes as usize,
+            delay: Duration::from_millis(self.common.delay_ms),
+        }
+    }
+}
+
+impl Agent {
+    /// Options of the agent.
+    pub fn options(&self) -> agent::daemon::Options {
+        agent::daemon::Options {
+            name: self.common.name.clone(),
+            region: self.common.region.clone(),
+            listen: self.listen,
+            http: self.http,
+            control: self.control.clone(),
+            connections: self.connections as usize,
+            max_answer_bytes: self.max_answer_bytes,
+            answers: answers::Limits {
+                bytes: self.answer_bytes as usize,
+                retention_ms: self.answer_s * 1_000,
+            },
+            delay: Duration::from_millis(self.common.delay_ms),
+        }
+    }
+}
+
+/// Blocks until the process is asked to end.
+pub fn wait_for_signal(check: impl Fn() -> bool) {
+    use std::sync::Arc;
+    use std::sync::atomic::{AtomicBool, Ordering};
+    let asked = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        if let Err(err) = signal_hook::flag::register(signal, Arc::clone(&asked)) {
+            log::error!("signal {signal} is not handled: {err}");
+        }
+    }
+    while !asked.load(Ordering::SeqCst) && check() {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn name(text: &str) -> std::result::Result<String, String> {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    if text.is_empty() || text.len() > 64 || !text.bytes().all(plain) {
+        return Err("give 1 to 64 letters, digits, `-`, `_` or `.`".to_owned());
+    }
+    Ok(text.to_owned())
+}
+
+fn token(text: &str) -> std::result::Result<String, String> {
+    if text.len() < MIN_TOKEN {
+        return Err(format!("give at least {MIN_TOKEN} characters"));
+    }
+    Ok(text.to_owned())
+}
