--- /dev/null
+++ b/src/store/folder.rs
@@ -0,0 +1,122 @@
+//! A data folder on a real disk.
+
+use std::fs;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+use crate::error;
+use crate::store::{Result, disk};
+
+/// A folder, with the file that is being appended to kept open.
+#[derive(Debug)]
+pub struct Folder {
+    path: PathBuf,
+    open: Option<(String, fs::File)>,
+}
+
+impl Folder {
+    /// Opens a folder, which is made if absent.
+    ///
+    /// # Errors
+    /// `Storage` when the folder cannot be made.
+    pub fn open(path: &Path) -> Result<Self> {
+        fs::create_dir_all(path).map_err(|err| fault(path, &err))?;
+        Ok(Self {
+            path: path.to_path_buf(),
+            open: None,
+        })
+    }
+
+    fn file(&mut self, name: &str) -> Result<&mut fs::File> {
+        let stale = self.open.as_ref().is_none_or(|(open, _file)| open != name);
+        if stale {
+            let path = self.path.join(name);
+            let is_new = !path.exists();
+            let file = fs::OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(&path)
+                .map_err(|err| fault(&path, &err))?;
+            self.open = Some((name.to_owned(), file));
+            if is_new {
+                self.sync_folder()?;
+            }
+        }
+        match &mut self.open {
+            Some((_name, file)) => Ok(file),
+            None => Err(error::Error::new(error::Kind::Storage, "no open segment")),
+        }
+    }
+
+    fn sync_folder(&self) -> Result<()> {
+        let folder = fs::File::open(&self.path).map_err(|err| fault(&self.path, &err))?;
+        folder.sync_all().map_err(|err| fault(&self.path, &err))
+    }
+}
+
+impl disk::Disk for Folder {
+    fn list(&self) -> Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.path).map_err(|err| fault(&self.path, &err))? {
+            let entry = entry.map_err(|err| fault(&self.path, &err))?;
+            names.push(entry.file_name().to_string_lossy().into_owned());
+        }
+        Ok(names)
+    }
+
+    fn read(&mut self, name: &str) -> Result<Vec<u8>> {
+        let path = self.path.join(name);
+        fs::read(&path).map_err(|err| fault(&path, &err))
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
+        let path = self.path.join(name);
+        self.file(name)?
+            .write_all(bytes)
+            .map_err(|err| fault(&path, &err))
+    }
+
+    fn sync(&mut self, name: &str) -> Result<()> {
+        let path = self.path.join(name);
+        self.file(name)?
+            .sync_data()
+            .map_err(|err| fault(&path, &err))
+    }
+
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
+        let path = self.path.join(name);
+        let beside = self.path.join(format!("{name}.new"));
+        let mut file = fs::File::create(&beside).map_err(|err| fault(&beside, &err))?;
+        file.write_all(bytes).map_err(|err| fault(&beside, &err))?;
+        file.sync_all().map_err(|err| fault(&beside, &err))?;
+        fs::rename(&beside, &path).map_err(|err| fault(&path, &err))?;
+        self.sync_folder()
+    }
+
+    fn truncate(&mut self, name: &str, bytes: u64) -> Result<()> {
+        let path = self.path.join(name);
+        self.open = None;
+        let file = fs::OpenOptions::new()
+            .write(true)
+            .open(&path)
+            .map_err(|err| fault(&path, &err))?;
+        file.set_len(bytes).map_err(|err| fault(&path, &err))?;
+        file.sync_all().map_err(|err| fault(&path, &err))
+    }
+
+    fn remove(&mut self, name: &str) -> Result<()> {
+        let path = self.path.join(name);
+        if self.open.as_ref().is_some_and(|(open, _file)| open == name) {
+            self.open = None;
+        }
+        fs::remove_file(&path).map_err(|err| fault(&path, &err))
+    }
+
+    fn name(&self, name: &str) -> String {
+        self.path.join(name).display().to_string()
+    }
+}
+
+fn fault(path: &Path, err: &std::io::Error) -> error::Error {
+    error::Error::new(error::Kind::Storage, format!("{}: {err}", path.display()))
+}
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,249 @@
+//! JSON-line logs and Prometheus metrics.
+
+use std::io::Write;
+use std::sync::LazyLock;
+
+use log::kv;
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+static REGISTRY: LazyLock<Registry> = LazyLock::new(Registry::new);
+
+/// Starts logging as JSON lines to standard error.
+pub fn init(role: &'static str, instance: &str, filter: &str) {
+    let instance = instance.to_owned();
+    let started = env_logger::Builder::new()
+        .parse_filters(filter)
+        .format(move |out, record| {
+            let line = render_line(role, &instance, record);
+            writeln!(out, "{line}")
+        })
+        .try_init();
+    if started.is_err() {
+        // Every role of `dev` runs in one process, and the first one has set the logger.
+        log::debug!("the logger was set before");
+    }
+}
+
+/// Renders a record as one JSON object.
+fn render_line(role: &str, instance: &str, record: &log::Record<'_>) -> String {
+    let mut line = serde_json::Map::new();
+    line.insert("ts_ms".to_owned(), crate::clock::wall_ms().into());
+    line.insert("level".to_owned(), record.level().as_str().into());
+    line.insert("role".to_owned(), role.into());
+    line.insert("instance".to_owned(), instance.into());
+    line.insert("module".to_owned(), record.target().into());
+    line.insert("message".to_owned(), record.args().to_string().into());
+    let mut fields = Fields(&mut line);
+    let visited = record.key_values().visit(&mut fields);
+    if visited.is_err() {
+        line.insert("fields".to_owned(), "not readable".into());
+    }
+    serde_json::Value::Object(line).to_string()
+}
+
+struct Fields<'a>(&'a mut serde_json::Map<String, serde_json::Value>);
+
+impl<'kvs> kv::VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(
+        &mut self,
+        key: kv::Key<'kvs>,
+        value: kv::Value<'kvs>,
+    ) -> std::result::Result<(), kv::Error> {
+        let value = match value.to_u64() {
+            Some(number) => number.into(),
+            None => value.to_string().into(),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+/// Renders all metrics in Prometheus's text format.
+pub fn render() -> String {
+    TextEncoder::new()
+        .encode_to_string(&REGISTRY.gather())
+        .unwrap_or_default()
+}
+
+fn counter(name: &str, help: &str) -> IntCounter {
+    let metric = IntCounter::new(name, help).expect("metric names are valid");
+    REGISTRY
+        .register(Box::new(metric.clone()))
+        .expect("metric names are unique");
+    metric
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let metric = IntCounterVec::new(Opts::new(name, help), labels).expect("metric names are valid");
+    REGISTRY
+        .register(Box::new(metric.clone()))
+        .expect("metric names are unique");
+    metric
+}
+
+fn gauge(name: &str, help: &str) -> IntGauge {
+    let metric = IntGauge::new(name, help).expect("metric names are valid");
+    REGISTRY
+        .register(Box::new(metric.clone()))
+        .expect("metric names are unique");
+    metric
+}
+
+fn gauges(name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    let metric = IntGaugeVec::new(Opts::new(name, help), labels).expect("metric names are valid");
+    REGISTRY
+        .register(Box::new(metric.clone()))
+        .expect("metric names are unique");
+    metric
+}
+
+fn histogram(name: &str, help: &str, buckets: &[f64]) -> Histogram {
+    let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+    let metric = Histogram::with_opts(opts).expect("metric names are valid");
+    REGISTRY
+        .register(Box::new(metric.clone()))
+        .expect("metric names are unique");
+    metric
+}
+
+const SECONDS: &[f64] = &[
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 30.0,
+];
+
+/// Requests answered by an entry, by kind of answer.
+pub static REQUESTS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counters(
+        "oriolereel_requests_total",
+        "Requests answered by this entry",
+        &["kind"],
+    )
+});
+
+/// Time from taking a request to its answer.
+pub static REQUEST_SECONDS: LazyLock<Histogram> = LazyLock::new(|| {
+    histogram(
+        "oriolereel_request_duration_seconds",
+        "Time to answer a request",
+        SECONDS,
+    )
+});
+
+/// Answers dropped because they came late or crossed.
+pub static ANSWERS_DROPPED: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counters(
+        "oriolereel_answers_dropped_total",
+        "Answers dropped",
+        &["reason"],
+    )
+});
+
+/// Bytes of answers fetched from agents of other regions.
+pub static CROSS_REGION_BYTES: LazyLock<IntCounter> = LazyLock::new(|| {
+    counter(
+        "oriolereel_cross_region_bytes_total",
+        "Answer bytes fetched from other regions",
+    )
+});
+
+/// Configuration generation in force.
+pub static GENERATION: LazyLock<IntGauge> = LazyLock::new(|| {
+    gauge(
+        "oriolereel_config_generation",
+        "Configuration generation in force",
+    )
+});
+
+/// Decisions by sort.
+pub static DECISIONS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counters(
+        "oriolereel_decisions_total",
+        "Scheduling decisions",
+        &["decision"],
+    )
+});
+
+/// Time of one scheduling pass.
+pub static DECISION_SECONDS: LazyLock<Histogram> = LazyLock::new(|| {
+    let buckets = [
+        0.00001, 0.00003, 0.0001, 0.0003, 0.001, 0.003, 0.005, 0.01, 0.1,
+    ];
+    histogram(
+        "oriolereel_decision_duration_seconds",
+        "Time of a scheduling pass",
+        &buckets,
+    )
+});
+
+/// Time from the writes of a batch to their sync.
+pub static SYNC_SECONDS: LazyLock<Histogram> = LazyLock::new(|| {
+    histogram(
+        "oriolereel_log_sync_duration_seconds",
+        "Time of a log write with sync",
+        SECONDS,
+    )
+});
+
+/// Writes made durable by one sync.
+pub static SYNC_WRITES: LazyLock<IntCounter> =
+    LazyLock::new(|| counter("oriolereel_log_writes_total", "Writes made durable"));
+
+/// Whether this member leads.
+pub static LEADER: LazyLock<IntGauge> =
+    LazyLock::new(|| gauge("oriolereel_leader", "1 while this member leads"));
+
+/// Current term.
+pub static TERM: LazyLock<IntGauge> =
+    LazyLock::new(|| gauge("oriolereel_term", "Current election term"));
+
+/// Index of the last entry applied.
+pub static APPLIED: LazyLock<IntGauge> = LazyLock::new(|| {
+    gauge(
+        "oriolereel_applied_index",
+        "Index of the last entry applied",
+    )
+});
+
+/// Jobs that wait.
+pub static WAITING: LazyLock<IntGauge> =
+    LazyLock::new(|| gauge("oriolereel_jobs_waiting", "Jobs that wait for their gang"));
+
+/// Free accelerators that the largest guaranteed shape cannot use, in per cent.
+pub static FRAGMENTATION: LazyLock<IntGauge> = LazyLock::new(|| {
+    gauge(
+        "oriolereel_fragmentation_percent",
+        "Free accelerators the largest shape cannot use",
+    )
+});
+
+/// Guaranteed gangs that cannot be had.
+pub static SHORTFALL: LazyLock<IntGaugeVec> = LazyLock::new(|| {
+    gauges(
+        "oriolereel_guarantee_shortfall",
+        "Guaranteed gangs that lack workers",
+        &["account"],
+    )
+});
+
+/// Gangs that an agent runs.
+pub static GANGS: LazyLock<IntGauge> =
+    LazyLock::new(|| gauge("oriolereel_gangs", "Gangs that this agent runs"));
+
+/// Lease operations by verb and outcome.
+pub static LEASES: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counters(
+        "oriolereel_lease_operations_total",
+        "Lease operations",
+        &["verb", "outcome"],
+    )
+});
+
+/// Bytes of answers that an agent keeps.
+pub static ANSWER_BYTES: LazyLock<IntGauge> = LazyLock::new(|| {
+    gauge(
+        "oriolereel_answer_bytes",
+        "Bytes of answers kept until collected",
+    )
+});
--- /dev/null
+++ b/src/uplink.rs
@@ -0,0 +1,249 @@
+//! What entries and agents share: the configuration in force, the watch on it, reports upwards.
+
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::thread;
+use std::time::Duration;
+
+use crate::clock;
+use crate::config;
+use crate::control::group;
+use crate::error;
+use crate::ledger::query;
+use crate::raft::Index;
+use crate::roster;
+use crate::telemetry;
+use crate::wire::Frame;
+use crate::wire::frame;
+
+/// Interval of reports to the leader.
+const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Longest time that a watch is held open.
+const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Time without word from a quorum-backed member after which nothing new is admitted.
+const LEASE_MS: u64 = 3_000;
+
+/// Pause after a failed watch.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Bound of one report with its retries.
+const REPORT_LIMIT: Duration = Duration::from_millis(2_000);
+
+/// The configuration in force in this process.
+#[derive(Debug)]
+pub struct Live {
+    config: RwLock<Arc<config::Config>>,
+    /// Monotonic clock at the last word from a quorum-backed member.
+    fresh_ms: Mutex<u64>,
+}
+
+impl Default for Live {
+    fn default() -> Self {
+        Self {
+            config: RwLock::new(Arc::default()),
+            fresh_ms: Mutex::new(0),
+        }
+    }
+}
+
+impl Live {
+    /// The configuration in force.
+    pub fn config(&self) -> Arc<config::Config> {
+        Arc::clone(&self.config.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Whether a quorum-backed member was heard within the lease.
+    pub fn is_fresh(&self) -> bool {
+        let fresh_ms = *self.fresh_ms.lock().unwrap_or_else(PoisonError::into_inner);
+        fresh_ms > 0 && clock::mono_ms() < fresh_ms + LEASE_MS
+    }
+
+    /// Takes over a configuration unless it is older than the one in force.
+    pub fn replace(&self, next: config::Config) {
+        let mut config = self.config.write().unwrap_or_else(PoisonError::into_inner);
+        if next.generation > config.generation {
+            telemetry::GENERATION.set(next.generation as i64);
+            *config = Arc::new(next);
+        }
+    }
+
+    fn catch_up(&self, catchup: query::Catchup) {
+        match catchup {
+            query::Catchup::Snapshot(next) => self.replace(*next),
+            query::Catchup::Deltas(deltas) => {
+                let mut next = (*self.config()).clone();
+                for delta in deltas {
+                    if delta.from == next.generation {
+                        delta.apply(&mut next);
+                    }
+                }
+                self.replace(next);
+            }
+        }
+    }
+
+    fn touch(&self) {
+        let mut fresh_ms = self.fresh_ms.lock().unwrap_or_else(PoisonError::into_inner);
+        *fresh_ms = clock::mono_ms();
+    }
+}
+
+/// Identity of a process, completed by the generation in force.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    pub node: frame::Node,
+    pub live: Arc<Live>,
+}
+
+impl Identity {
+    /// The process as it presents itself now.
+    pub fn node(&self) -> frame::Node {
+        let generation = self.live.config().generation;
+        frame::Node {
+            generation,
+            ..self.node.clone()
+        }
+    }
+}
+
+/// Takes the grants of an update; an entry ignores them.
+pub trait Granted: Send + 'static {
+    /// Hands over all grants as of an index.
+    fn grants(&self, index: Index, grants: Vec<frame::Grant>);
+}
+
+/// Ignores grants.
+#[derive(Clone, Copy, Debug)]
+pub struct Ignore;
+
+impl Granted for Ignore {
+    fn grants(&self, _index: Index, _grants: Vec<frame::Grant>) {}
+}
+
+/// Starts the thread that keeps the configuration, and an agent's grants, up to date.
+///
+/// # Errors
+/// `Internal` when no thread can be started.
+pub fn watch<G: Granted>(identity: Identity, group: group::Group, granted: G) -> error::Result<()> {
+    spawn("watch", move || {
+        prime(&identity, &group);
+        follow(&identity, &group, &granted);
+    })
+}
+
+/// Reads the configuration from the leader, so that a restart cannot bring back an older one.
+fn prime(identity: &Identity, group: &group::Group) {
+    let query = Frame::Query(frame::Query::Config);
+    loop {
+        match group.call(&query, Duration::ZERO, REPORT_LIMIT) {
+            Ok(Frame::Document(text)) => match serde_json::from_str(&text) {
+                Ok(config) => {
+                    identity.live.replace(config);
+                    return;
+                }
+                Err(err) => log::error!("configuration not readable: {err}"),
+            },
+            Ok(_other) => log::error!("unexpected answer to a query"),
+            Err(err) => log::debug!("no leader yet: {err}"),
+        }
+        thread::sleep(PAUSE);
+    }
+}
+
+fn follow<G: Granted>(identity: &Identity, group: &group::Group, granted: &G) {
+    let mut seen = 0;
+    let mut member = 0;
+    loop {
+        let wait_ms = WATCH_WAIT.as_millis() as u64;
+        let watch = frame::Watch {
+            node: identity.node(),
+            seen,
+            wait_ms,
+        };
+        match group.call_any(member, &Frame::Watch(watch), WATCH_WAIT) {
+            Ok(Frame::Update(update)) => {
+                if let Some(catchup) = update.config {
+                    identity.live.catch_up(catchup);
+                }
+                if update.has_grants && update.index >= seen {
+                    granted.grants(update.index, update.grants);
+                }
+                seen = seen.max(update.index);
+                if update.fresh {
+                    identity.live.touch();
+                } else {
+                    member += 1;
+                    thread::sleep(PAUSE);
+                }
+            }
+            Ok(_other) => log::error!("unexpected answer to a watch"),
+            Err(err) => {
+                log::debug!("watch failed: {err}");
+                member += 1;
+                thread::sleep(PAUSE);
+            }
+        }
+    }
+}
+
+/// What an agent adds to its reports.
+#[derive(Clone, Debug, Default)]
+pub struct Extra {
+    pub target: Option<frame::Target>,
+    pub jobs: Vec<(u64, u32)>,
+}
+
+/// Starts the thread that reports to the leader once a second.
+///
+/// # Errors
+/// `Internal` when no thread can be started.
+pub fn report(
+    identity: Identity,
+    group: group::Group,
+    roster: Arc<Mutex<roster::Roster>>,
+    extra: Arc<Mutex<Extra>>,
+) -> error::Result<()> {
+    spawn("report", move || {
+        let mut full = true;
+        loop {
+            let (workers, gone) = {
+                let mut roster = roster.lock().unwrap_or_else(PoisonError::into_inner);
+                roster.expire(clock::mono_ms());
+                roster.changes(full)
+            };
+            let extra = extra.lock().unwrap_or_else(PoisonError::into_inner).clone();
+            let report = frame::Report {
+                node: identity.node(),
+                target: extra.target,
+                workers,
+                gone,
+                full,
+                jobs: extra.jobs,
+            };
+            // What a lost report said is sent again by sending everything.
+            full = match group.call(&Frame::Report(report), Duration::ZERO, REPORT_LIMIT) {
+                Ok(Frame::Reported { want_full }) => want_full,
+                Ok(_other) => true,
+                Err(err) => {
+                    log::debug!("report failed: {err}");
+                    true
+                }
+            };
+            thread::sleep(REPORT_INTERVAL);
+        }
+    })
+}
+
+/// Starts a named thread.
+///
+/// # Errors
+/// `Internal` when no thread can be started.
+pub fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> error::Result<()> {
+    thread::Builder::new()
+        .name(name.to_owned())
+        .stack_size(256 << 10)
+        .spawn(run)
+        .map(drop)
+        .map_err(|err| error::Error::new(error::Kind::Internal, err.to_string()))
+}
--- /dev/null
+++ b/tests/tests.rs
@@ -0,0 +1,6 @@
+//! Tests of the library and the daemons, one file for each role or command.
+
+#[path = "tests/error.rs"]
+mod error;
+#[path = "tests/serve.rs"]
+mod serve;
--- /dev/null
+++ b/tests/tests/serve.rs
@@ -0,0 +1,128 @@
+//! The HTTP service on real sockets.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use oriolereel::{dev, serve};
+
+struct Echo;
+
+impl serve::Handler for Echo {
+    fn max_body_bytes(&self) -> usize {
+        1_024
+    }
+
+    fn handle(&self, request: &serve::Request) -> serve::Response {
+        let body = serve::Body::whole(request.body().clone());
+        serve::respond(200, "text/plain", body)
+    }
+
+    fn readiness(&self) -> Result<(), String> {
+        Err("not yet".to_owned())
+    }
+}
+
+fn start() -> std::net::SocketAddr {
+    serve::start(dev::loopback(0), 4, Arc::default(), Arc::new(Echo)).expect("a free port")
+}
+
+/// Reads one answer with a `content-length` from a connection that stays open.
+fn read_answer(stream: &mut TcpStream) -> (u16, String) {
+    let mut data = Vec::new();
+    let mut byte = [0];
+    while !data.ends_with(b"\r\n\r\n") {
+        assert_eq!(
+            stream.read(&mut byte).expect("an answer"),
+            1,
+            "the connection was closed"
+        );
+        data.push(byte[0]);
+    }
+    let head = String::from_utf8(data)
+        .expect("headers are text")
+        .to_lowercase();
+    let status = head[9..12].parse().expect("a status");
+    let length = head.split("content-length: ").nth(1).expect("a length");
+    let length = length
+        .split("\r\n")
+        .next()
+        .expect("a line")
+        .parse()
+        .expect("a number");
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).expect("a whole body");
+    (status, String::from_utf8(body).expect("text"))
+}
+
+/// Requests on kept connections, several at a time, lost their wake-up with `astra` 0.4.
+#[test]
+fn kept_connections_answer_every_request() {
+    let addr = start();
+    let clients: Vec<_> = (0..8)
+        .map(|client| {
+            thread::spawn(move || {
+                let mut stream = TcpStream::connect(addr).expect("a connection");
+                stream
+                    .set_read_timeout(Some(Duration::from_secs(60)))
+                    .expect("a timeout");
+                for request in 0..100 {
+                    let body = format!("{client}-{request}");
+                    let length = body.len();
+                    let text = format!(
+                        "POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n{body}"
+                    );
+                    stream.write_all(text.as_bytes()).expect("sent");
+                    assert_eq!(read_answer(&mut stream), (200, body));
+                }
+            })
+        })
+        .collect();
+    for client in clients {
+        client.join().expect("every request was answered");
+    }
+}
+
+#[test]
+fn bodies_and_paths_get_the_tables_answer() {
+    struct Case {
+        name: &'static str,
+        request: String,
+        status: u16,
+        body: &'static str,
+    }
+    let large = format!(
+        "POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: 2000\r\n\r\n{}",
+        "y".repeat(2_000)
+    );
+    let cases = [
+        Case {
+            name: "health",
+            request: "GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n".to_owned(),
+            status: 200,
+            body: "ok",
+        },
+        Case {
+            name: "not ready",
+            request: "GET /readyz HTTP/1.1\r\nhost: x\r\n\r\n".to_owned(),
+            status: 503,
+            body: "not yet",
+        },
+        Case {
+            name: "too large",
+            request: large,
+            status: 413,
+            body: "body-too-large",
+        },
+    ];
+    let addr = start();
+    for case in cases {
+        let mut stream = TcpStream::connect(addr).expect("a connection");
+        stream.write_all(case.request.as_bytes()).expect("sent");
+        let (status, body) = read_answer(&mut stream);
+        assert_eq!(status, case.status, "{}", case.name);
+        assert!(body.contains(case.body), "{}: {body}", case.name);
+    }
+}
