--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -1,7 +1,7 @@
 //! Checks what a configuration means, once its files could be read.
 
 use crate::config::parse;
-use crate::config::{self, Resources};
+use crate::config;
 use crate::sched::bind;
 
 /// Most tasks of a gang.
@@ -179,7 +179,7 @@
     }
     for (account, at) in bind::misfits(config, &workers) {
         let shape = &config.accounts[&account].shapes[at];
-        let total: Resources = shape.each.scaled(shape.workers * shape.count);
+        let total = shape.each.scaled(shape.workers * shape.count);
         let detail = format!(
             "the declared racks cannot hold this guarantee ({} x {} workers x {} accelerators, \
              {} in all) together with the others",
--- a/src/sched/reclaim.rs
+++ b/src/sched/reclaim.rs
@@ -3,6 +3,9 @@
 use crate::config::Resources;
 use crate::sched::fleet;
 
+/// Scale at which cost is divided by gain.
+const SCALE: u128 = 1_000_000;
+
 /// A borrowed gang that could be stopped.
 #[derive(Clone, Debug)]
 pub struct Candidate<K> {
@@ -29,11 +32,9 @@
             .filter(|candidate| !chosen.iter().any(|taken| taken.job == candidate.job));
         let useful = open.filter_map(|candidate| {
             let gain = gain(&left, candidate);
-            // Cost by gain, compared without division.
-            (gain > 0).then_some((
-                u128::from(candidate.cost) * 1_000_000 / u128::from(gain),
-                candidate,
-            ))
+            // Cost by gain, in whole numbers.
+            let rate = || u128::from(candidate.cost) * SCALE / u128::from(gain);
+            (gain > 0).then(|| (rate(), candidate))
         });
         let (_rate, best) = useful.min_by_key(|(rate, _candidate)| *rate)?;
         subtract(&mut left, best);
