Property tests of the scheduler and of consensus, store and ledger together

Cause: the promises need proof under failure. Change: a stateful test of the scheduler against an oracle with an exhaustive packing search; one of raft, store and ledger over a fake network and disks with cuts, crashes between write and sync, torn writes, replaced members. Found and fixed: a dropped guarantee's use was taken off the new gang that bears its number (subtraction overflow); a gang whose cells came to rest did not make room for another account's short gang.

--- a/examples/replay.rs
+++ b/examples/replay.rs
@@ -66,7 +66,10 @@
 enum Due {
     Line(usize),
     /// The gang's current run ends; stale when another run has begun since.
-    End { job: JobId, run: u32 },
+    End {
+        job: JobId,
+        run: u32,
+    },
     Tick,
 }
 
@@ -123,7 +126,11 @@
 fn run(config: &config::Config, lines: &[Line], policy: Policy) {
     let mut sched = Sched::new(policy);
     let mut replay = Replay::default();
-    let mut regions: Vec<String> = config.racks.values().map(|rack| rack.region.clone()).collect();
+    let mut regions: Vec<String> = config
+        .racks
+        .values()
+        .map(|rack| rack.region.clone())
+        .collect();
     regions.dedup();
     let mut gate = event::Open { regions };
     let mut workers: BTreeMap<String, event::Worker> = BTreeMap::new();
@@ -144,7 +151,9 @@
     let first = first.chain([Event::Configure(Arc::new(config.clone()))]);
     sched.step(0, first, &mut gate);
     for (at, line) in lines.iter().enumerate() {
-        replay.due.push(Reverse(((line.at_s * 1_000.0) as Millis, Due::Line(at))));
+        replay
+            .due
+            .push(Reverse(((line.at_s * 1_000.0) as Millis, Due::Line(at))));
     }
     let shape = measure::largest(config).cloned();
     while let Some(Reverse((at, due))) = replay.due.pop() {
@@ -196,7 +205,10 @@
                     (None, _) => self.submit(at, line),
                     (Some("cancel"), _) => {
                         let job = line.job.as_ref().and_then(|name| self.names.get(name));
-                        let cancel = |job: &JobId| Event::Cancel { job: *job, kind: Kind::Cancelled };
+                        let cancel = |job: &JobId| Event::Cancel {
+                            job: *job,
+                            kind: Kind::Cancelled,
+                        };
                         job.map(cancel).into_iter().collect()
                     }
                     (Some("worker_down"), Some(worker)) => {
@@ -229,7 +241,14 @@
         let tasks = number(line.tasks);
         let left = line.actual_s.map(|seconds| (seconds * 1_000.0) as Millis);
         let submitted = self.now;
-        let job = Job { submitted, left, each, tasks, account, ..Job::default() };
+        let job = Job {
+            submitted,
+            left,
+            each,
+            tasks,
+            account,
+            ..Job::default()
+        };
         let spec = event::Spec {
             id,
             account: job.account.clone(),
@@ -252,7 +271,9 @@
         let Some(job) = self.jobs.get_mut(&id).filter(|job| job.run == run) else {
             return Vec::new();
         };
-        let Some(end) = job.end.take() else { return Vec::new() };
+        let Some(end) = job.end.take() else {
+            return Vec::new();
+        };
         job.members.clear();
         let run_ms = self.now - job.started;
         if end == End::Done {
@@ -261,46 +282,85 @@
             // What ran was checkpointed when the gang was asked to leave.
             *left = left.saturating_sub(run_ms).max(1);
         }
-        vec![Event::Ended { job: id, end, run_ms }]
+        vec![Event::Ended {
+            job: id,
+            end,
+            run_ms,
+        }]
     }
 
     fn plan_end(&mut self, id: JobId, after: Millis, end: End) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
         job.run += 1;
         job.end = Some(end);
         let run = job.run;
-        self.due.push(Reverse((self.now + after, Due::End { job: id, run })));
+        self.due
+            .push(Reverse((self.now + after, Due::End { job: id, run })));
     }
 
     fn lose(&mut self, key: fleet::Key) {
         let here = |job: &Job| job.members.iter().any(|member| member.worker == key);
-        let lost: Vec<JobId> =
-            self.jobs.iter().filter(|(_id, job)| here(job)).map(|(id, _job)| *id).collect();
+        let lost: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_id, job)| here(job))
+            .map(|(id, _job)| *id)
+            .collect();
         for id in lost {
-            self.plan_end(id, LEASE_MS, End::Lost { worker: Some(key), ran: true });
+            self.plan_end(
+                id,
+                LEASE_MS,
+                End::Lost {
+                    worker: Some(key),
+                    ran: true,
+                },
+            );
         }
     }
 
     fn decided(&mut self, decision: Decision) {
         match decision {
-            Decision::Place { job: id, placement, .. } => {
+            Decision::Place {
+                job: id, placement, ..
+            } => {
                 let broken = placement.members.iter().map(|member| member.worker);
                 let broken = broken.filter(|key| self.broken.contains_key(key)).min();
                 let now = self.now;
-                let Some(job) = self.jobs.get_mut(&id) else { return };
+                let Some(job) = self.jobs.get_mut(&id) else {
+                    return;
+                };
                 job.started = now;
                 job.members = placement.members;
                 if let Some(claimed) = job.claimed.take() {
                     self.reclaims.push(now - claimed);
                 }
                 let (after, end) = match (broken, job.left) {
-                    (Some(key), _) => (FAILURE_MS, End::Failed { worker: Some(key), ran: true }),
+                    (Some(key), _) => (
+                        FAILURE_MS,
+                        End::Failed {
+                            worker: Some(key),
+                            ran: true,
+                        },
+                    ),
                     (None, Some(left)) => (left, End::Done),
-                    (None, None) => (HOPELESS_MS, End::Failed { worker: None, ran: true }),
+                    (None, None) => (
+                        HOPELESS_MS,
+                        End::Failed {
+                            worker: None,
+                            ran: true,
+                        },
+                    ),
                 };
                 self.plan_end(id, after, end);
             }
-            Decision::Stop { job, grace_ms, reason, .. } => {
+            Decision::Stop {
+                job,
+                grace_ms,
+                reason,
+                ..
+            } => {
                 if let event::Reason::Yielded { to, .. } = reason
                     && let Some(to) = self.jobs.get_mut(&to)
                 {
@@ -325,12 +385,18 @@
         for worker in workers.values() {
             let mut used = Resources::default();
             for job in self.jobs.values() {
-                let here = job.members.iter().filter(|member| member.worker == worker.key);
+                let here = job
+                    .members
+                    .iter()
+                    .filter(|member| member.worker == worker.key);
                 here.for_each(|member| used += job.each.scaled(member.tasks));
             }
             let mut bound = Resources::default();
             for gang in sched.guarantees().gangs() {
-                let cells = gang.cells.iter().filter(|cell| cell.worker == Some(worker.key));
+                let cells = gang
+                    .cells
+                    .iter()
+                    .filter(|cell| cell.worker == Some(worker.key));
                 cells.for_each(|_cell| bound += gang.form.each);
             }
             self.violations += u64::from(!worker.total.fits(&used));
@@ -346,7 +412,10 @@
             };
             self.violations += u64::from(idle && self.jobs.iter().any(waits));
         }
-        let healthy = sched.fleet().iter().all(|(_key, worker)| worker.state == fleet::State::Up);
+        let healthy = sched
+            .fleet()
+            .iter()
+            .all(|(_key, worker)| worker.state == fleet::State::Up);
         let declared = !config.racks.is_empty();
         self.violations += u64::from(healthy && declared && !sched.shortfalls().is_empty());
     }
@@ -355,7 +424,10 @@
         let of = |values: &mut Vec<f64>, share: f64| {
             values.sort_by(f64::total_cmp);
             let at = (values.len() as f64 * share) as usize;
-            values.get(at.min(values.len().saturating_sub(1))).copied().unwrap_or(0.0)
+            values
+                .get(at.min(values.len().saturating_sub(1)))
+                .copied()
+                .unwrap_or(0.0)
         };
         let mean = |values: &[f64]| values.iter().sum::<f64>() / (values.len() as f64).max(1.0);
         let seconds = |values: &[Millis]| -> Vec<f64> {
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -1,7 +1,7 @@
 //! Checks what a configuration means, once its files could be read.
 
-use crate::config::parse;
 use crate::config;
+use crate::config::parse;
 use crate::sched::bind;
 
 /// Most tasks of a gang.
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -56,7 +56,11 @@
              {} of work since its start are lost unless it was checkpointed",
             seconds(*lost_ms)
         ),
-        Reason::Moved { to, account, ran_ms } => format!(
+        Reason::Moved {
+            to,
+            account,
+            ran_ms,
+        } => format!(
             "moves to other workers after {}, so that job {to} of account {account} finds its whole \
              gang together; it is checkpointed first",
             seconds(*ran_ms)
--- a/src/sched/core.rs
+++ b/src/sched/core.rs
@@ -359,6 +359,7 @@
             .waiting
             .retain(|waiting| *waiting != key);
         self.claiming.retain(|claiming| *claiming != key);
-        self.reservations.retain(|reservation| reservation.job != key);
+        self.reservations
+            .retain(|reservation| reservation.job != key);
     }
 }
--- a/src/sched/core/consolidate.rs
+++ b/src/sched/core/consolidate.rs
@@ -53,11 +53,19 @@
     /// Finds the workers of a rack that cost the least to vacate, and whether all can move.
     fn way(&self, job: &Job, rack: fleet::RackKey) -> Option<Way> {
         let members = self.vacatable(job, rack)?;
-        let placement = event::Placement { members, claims: Vec::new() };
+        let placement = event::Placement {
+            members,
+            claims: Vec::new(),
+        };
         let missing = self.to_vacate(&placement, &job.spec);
         let mut movable: Vec<JobKey> = Vec::new();
         for (worker, _amount) in &missing {
-            let here = self.residents.get(worker.0 as usize).into_iter().flatten().copied();
+            let here = self
+                .residents
+                .get(worker.0 as usize)
+                .into_iter()
+                .flatten()
+                .copied();
             movable.extend(here.filter(|key| self.is_movable(*key, job)));
         }
         movable.sort_unstable();
@@ -68,9 +76,15 @@
         if victims.len() > MAX_MOVES || !self.fit_elsewhere(&victims, &placement) {
             return None;
         }
-        let costs = candidates.iter().filter(|candidate| victims.contains(&candidate.job));
+        let costs = candidates
+            .iter()
+            .filter(|candidate| victims.contains(&candidate.job));
         let cost = costs.map(|candidate| candidate.cost).sum();
-        Some(Way { placement, victims, cost })
+        Some(Way {
+            placement,
+            victims,
+            cost,
+        })
     }
 
     /// Workers of a rack that hold the gang once their movable residents have left.
@@ -114,8 +128,14 @@
                 continue;
             }
             let job = &self.jobs[*key];
-            let members = job.state.placement().map(|placement| placement.members.iter());
-            let here = members.into_iter().flatten().filter(|member| member.worker == worker);
+            let members = job
+                .state
+                .placement()
+                .map(|placement| placement.members.iter());
+            let here = members
+                .into_iter()
+                .flatten()
+                .filter(|member| member.worker == worker);
             here.for_each(|member| sum += job.spec.each.scaled(member.tasks));
         }
         sum
@@ -140,7 +160,10 @@
             .collect();
         victims.iter().all(|key| {
             let job = &self.jobs[*key];
-            let parts = job.state.placement().map(|placement| placement.members.clone());
+            let parts = job
+                .state
+                .placement()
+                .map(|placement| placement.members.clone());
             parts.into_iter().flatten().all(|member| {
                 let amount = job.spec.each.scaled(member.tasks);
                 let place = free.iter_mut().find(|free| free.fits(&amount));
--- a/src/sched/core/dispatch.rs
+++ b/src/sched/core/dispatch.rs
@@ -54,8 +54,18 @@
     /// Starts gangs whose cells have been vacated.
     fn start_claimed(&mut self) {
         for key in self.claiming.clone() {
-            let State::Claiming { placement, stopping } = &self.jobs[key].state else { continue };
-            if placement.members.iter().any(|member| self.is_awaited(key, member.worker)) {
+            let State::Claiming {
+                placement,
+                stopping,
+            } = &self.jobs[key].state
+            else {
+                continue;
+            };
+            if placement
+                .members
+                .iter()
+                .any(|member| self.is_awaited(key, member.worker))
+            {
                 continue;
             }
             let (placement, stopped) = (placement.clone(), stopping.clone());
@@ -65,21 +75,43 @@
                 let waited_ms = now.saturating_sub(job.spec.submitted_ms);
                 if placement.is_guaranteed() {
                     let shapes = shapes(placement);
-                    return Reason::Guaranteed { shapes, waited_ms, stopped, moved: false };
+                    return Reason::Guaranteed {
+                        shapes,
+                        waited_ms,
+                        stopped,
+                        moved: false,
+                    };
+                }
+                Reason::Borrowed {
+                    waited_ms,
+                    share_ppm,
+                    backfilled: None,
+                    fragments: 0,
                 }
-                Reason::Borrowed { waited_ms, share_ppm, backfilled: None, fragments: 0 }
             });
         }
     }
 
     /// Whether a claim still waits for others to leave a worker; later claims do not count.
     fn is_awaited(&self, key: JobKey, worker: fleet::Key) -> bool {
-        let Some(entry) = self.fleet.get(worker) else { return true };
-        let later = self.claiming.iter().skip_while(|other| **other != key).skip(1);
+        let Some(entry) = self.fleet.get(worker) else {
+            return true;
+        };
+        let later = self
+            .claiming
+            .iter()
+            .skip_while(|other| **other != key)
+            .skip(1);
         let mut used = entry.used;
         for job in later.map(|other| &self.jobs[*other]) {
-            let members = job.state.placement().map(|placement| placement.members.iter());
-            let here = members.into_iter().flatten().filter(|member| member.worker == worker);
+            let members = job
+                .state
+                .placement()
+                .map(|placement| placement.members.iter());
+            let here = members
+                .into_iter()
+                .flatten()
+                .filter(|member| member.worker == worker);
             here.for_each(|member| used = used.less(&job.spec.each.scaled(member.tasks)));
         }
         !entry.total.fits(&used)
@@ -124,7 +156,11 @@
     fn class(&self, job: &Job, regions: &[fleet::RegionKey]) -> Class {
         let bits = regions.iter().map(|region| 1_u64 << (region.0 % 64)).sum();
         let ends_ms = self.now + self.expected_ms(job);
-        let long = self.reservations.iter().filter(|found| ends_ms > found.date).count();
+        let long = self
+            .reservations
+            .iter()
+            .filter(|found| ends_ms > found.date)
+            .count();
         Class {
             tasks: job.spec.tasks,
             each: job.spec.each,
@@ -215,7 +251,11 @@
     /// Gives up borrowed gangs that are being made room for where a guarantee needs the place.
     fn drop_consolidations<G: Gate>(&mut self, plan: &guarantee::Plan, gate: &mut G) {
         for (worker, _amount) in &plan.missing {
-            let here = self.residents.get(worker.0 as usize).cloned().unwrap_or_default();
+            let here = self
+                .residents
+                .get(worker.0 as usize)
+                .cloned()
+                .unwrap_or_default();
             for key in here {
                 if self.is_consolidating(key) {
                     self.unclaim(key, gate);
@@ -404,9 +444,14 @@
         let ends_ms = self.now + self.expected_ms(job);
         let each = job.spec.each;
         let mut backfilled = None;
-        for reservation in self.reservations.iter_mut().filter(|found| found.job != key) {
+        for reservation in self
+            .reservations
+            .iter_mut()
+            .filter(|found| found.job != key)
+        {
             reservation.took(&placement.members, &each, ends_ms);
-            backfilled = backfilled.or_else(|| self.jobs.get(reservation.job).map(|job| job.spec.id));
+            backfilled =
+                backfilled.or_else(|| self.jobs.get(reservation.job).map(|job| job.spec.id));
         }
         self.leave_queue(key, &placement, gate);
         self.occupy(key, &placement);
@@ -465,7 +510,10 @@
 
     /// Whether a gang is large enough to be what fragmentation starves.
     fn is_wide(&self, job: &Job) -> bool {
-        let width = self.big.as_ref().map_or(0, |big| big.workers * big.each.accelerators);
+        let width = self
+            .big
+            .as_ref()
+            .map_or(0, |big| big.workers * big.each.accelerators);
         job.accelerators() * WIDE_PART >= width
     }
 
@@ -500,14 +548,19 @@
             return false;
         }
         let ends_ms = self.now + self.expected_ms(job);
-        let others: Vec<&reserve::Reservation<JobKey>> =
-            self.reservations.iter().filter(|found| found.job != key).collect();
+        let others: Vec<&reserve::Reservation<JobKey>> = self
+            .reservations
+            .iter()
+            .filter(|found| found.job != key)
+            .collect();
         let room = |worker: fleet::Key, entry: &fleet::Worker| {
             if job.bad.contains(&worker) {
                 return Resources::default();
             }
             let lendable = entry.lendable();
-            others.iter().fold(lendable, |room, found| found.room(worker, room, ends_ms))
+            others
+                .iter()
+                .fold(lendable, |room, found| found.room(worker, room, ends_ms))
         };
         let found = gang::plan(&self.fleet, &self.ask(job, &regions), room);
         let Some((members, cost)) = found else {
@@ -553,7 +606,10 @@
 
     /// Waiting gangs that have waited long for their expected run time, the longest first.
     pub(super) fn overdue(&self) -> Vec<JobKey> {
-        let waiting = self.accounts.iter().flat_map(|account| account.waiting.iter().copied());
+        let waiting = self
+            .accounts
+            .iter()
+            .flat_map(|account| account.waiting.iter().copied());
         let mut overdue: Vec<(Millis, JobKey)> = waiting
             .filter(|key| self.is_wide(&self.jobs[*key]))
             .filter_map(|key| {
@@ -595,7 +651,13 @@
             })
             .collect();
         let held = &self.reservations;
-        reserve::forecast(&self.fleet, &self.ask(job, &regions), key, &mut running, held)
+        reserve::forecast(
+            &self.fleet,
+            &self.ask(job, &regions),
+            key,
+            &mut running,
+            held,
+        )
     }
 }
 
--- a/src/sched/core/lifecycle.rs
+++ b/src/sched/core/lifecycle.rs
@@ -34,18 +34,20 @@
 
     /// Lets gangs whose guarantee was withdrawn run on as borrowed ones.
     fn demote(&mut self, dropped: &[(String, u32, u32)]) {
+        let is_dropped = |account: &str, claim: &event::Claim| {
+            dropped.iter().any(|(owner, shape, number)| {
+                owner == account && *shape == claim.shape && *number == claim.number
+            })
+        };
         let affected: Vec<JobKey> = self
             .jobs
             .iter()
             .filter(|(_key, job)| {
                 let claims = job.state.placement().map(|placement| &placement.claims);
-                claims.into_iter().flatten().any(|claim| {
-                    dropped.iter().any(|(account, shape, number)| {
-                        *account == job.spec.account
-                            && *shape == claim.shape
-                            && *number == claim.number
-                    })
-                })
+                claims
+                    .into_iter()
+                    .flatten()
+                    .any(|claim| is_dropped(&job.spec.account, claim))
             })
             .map(|(key, _job)| key)
             .collect();
@@ -54,13 +56,15 @@
                 continue;
             };
             let each = job.spec.each;
-            let claims = match &mut job.state {
+            let mut claims = match &mut job.state {
                 State::Waiting => continue,
                 State::Claiming { placement, .. }
                 | State::Running { placement }
                 | State::Stopping { placement, .. } => std::mem::take(&mut placement.claims),
             };
             let account = job.spec.account.clone();
+            // The cells of a dropped gang went with it; another gang may bear its number now.
+            claims.retain(|claim| !is_dropped(&account, claim));
             self.guarantees
                 .release(&mut self.fleet, &account, &claims, each);
         }
@@ -413,23 +417,44 @@
     ) -> Reason {
         let ran_ms = self.now.saturating_sub(self.jobs[key].started_ms);
         let claimant = self.ids.get(&to).and_then(|to| self.jobs.get(*to));
-        let account = claimant.map(|job| job.spec.account.clone()).unwrap_or_default();
+        let account = claimant
+            .map(|job| job.spec.account.clone())
+            .unwrap_or_default();
         match claim {
-            Some(claim) => Reason::Yielded { to, account, shape: claim.shape, lost_ms: ran_ms },
-            None => Reason::Moved { to, account, ran_ms },
+            Some(claim) => Reason::Yielded {
+                to,
+                account,
+                shape: claim.shape,
+                lost_ms: ran_ms,
+            },
+            None => Reason::Moved {
+                to,
+                account,
+                ran_ms,
+            },
         }
     }
 
     /// Asks a borrowed gang to leave.
     pub(super) fn reclaim(&mut self, key: JobKey, reason: Reason) {
         let job = &mut self.jobs[key];
-        let State::Running { placement } = &mut job.state else { return };
+        let State::Running { placement } = &mut job.state else {
+            return;
+        };
         let placement = std::mem::take(placement);
-        job.state = State::Stopping { placement, cause: Cause::Reclaimed };
+        job.state = State::Stopping {
+            placement,
+            cause: Cause::Reclaimed,
+        };
         let job = job.spec.id;
         self.counts.stopped += 1;
         let cause = Cause::Reclaimed;
-        self.out.push(Decision::Stop { job, cause, grace_ms: RECLAIM_GRACE_MS, reason });
+        self.out.push(Decision::Stop {
+            job,
+            cause,
+            grace_ms: RECLAIM_GRACE_MS,
+            reason,
+        });
     }
 
     /// Meets memory overuse: throttles the worst gang of a crowded worker, stops it the next time.
--- a/src/sched/event.rs
+++ b/src/sched/event.rs
@@ -204,7 +204,11 @@
         lost_ms: Millis,
     },
     /// Moves to another place, so that a wide gang fits.
-    Moved { to: JobId, account: String, ran_ms: Millis },
+    Moved {
+        to: JobId,
+        account: String,
+        ran_ms: Millis,
+    },
     /// Does not fit even an empty fleet.
     NeverFits {
         tasks: u32,
--- a/src/sched/gang.rs
+++ b/src/sched/gang.rs
@@ -183,22 +183,22 @@
 
 /// Whether the shape may lie in a region.
 fn lies_in(fleet: &fleet::Fleet, region: fleet::RegionKey, big: &config::Shape) -> bool {
-    big.region.as_ref().is_none_or(|name| *name == fleet.region(region).name)
+    big.region
+        .as_ref()
+        .is_none_or(|name| *name == fleet.region(region).name)
 }
 
-fn worker_cost(
-    fleet: &fleet::Fleet,
-    worker: &fleet::Worker,
-    ask: &Ask<'_>,
-    tasks: u32,
-) -> Cost {
+fn worker_cost(fleet: &fleet::Fleet, worker: &fleet::Worker, ask: &Ask<'_>, tasks: u32) -> Cost {
     let amount = ask.each.scaled(tasks);
     let free = worker.free();
     let left = free.less(&amount);
-    let cells = ask.big.filter(|big| lies_in(fleet, worker.region, big)).map_or(0, |big| {
-        free.times(&big.each, u32::MAX)
-            .saturating_sub(left.times(&big.each, u32::MAX))
-    });
+    let cells = ask
+        .big
+        .filter(|big| lies_in(fleet, worker.region, big))
+        .map_or(0, |big| {
+            free.times(&big.each, u32::MAX)
+                .saturating_sub(left.times(&big.each, u32::MAX))
+        });
     let kept = amount.less(&worker.spare());
     Cost {
         gangs: 0,
--- a/src/sched/guarantee.rs
+++ b/src/sched/guarantee.rs
@@ -219,11 +219,8 @@
                 worker.claimed -= amount;
             }
         });
-        let short = |at: &usize| self.gangs[*at].is_short() && !self.gangs[*at].is_used();
-        let at_rest = self
-            .by_account
-            .get(account)
-            .is_some_and(|own| own.iter().any(short));
+        // A gang at rest can move again, which may make room for any gang that lacks cells.
+        let at_rest = self.gangs.iter().any(Gang::is_short);
         if at_rest {
             self.bind_missing(fleet);
         } else {
--- a/src/store.rs
+++ b/src/store.rs
@@ -250,6 +250,11 @@
         Ok(())
     }
 
+    /// The disk underneath, for tests that make it fail.
+    pub fn disk_mut(&mut self) -> &mut D {
+        &mut self.disk
+    }
+
     /// Gives the disk back, as a restart does in tests.
     pub fn into_disk(self) -> D {
         self.disk
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -2,7 +2,13 @@
 
 #[path = "tests/error.rs"]
 mod error;
+#[path = "tests/raft.rs"]
+mod raft;
 #[path = "tests/sched.rs"]
 mod sched;
 #[path = "tests/serve.rs"]
 mod serve;
+#[path = "tests/store.rs"]
+mod store;
+#[path = "tests/support.rs"]
+mod support;
--- a/tests/tests/sched.rs
+++ b/tests/tests/sched.rs
@@ -13,7 +13,11 @@
 /// Racks of the small fleet, with the workers of each.
 const RACKS: [(&str, &str, u32); 3] = [("east", "e1", 2), ("east", "e2", 2), ("west", "w1", 2)];
 const WORKERS: u32 = 6;
-const TOTAL: Resources = Resources { accelerators: 4, cpus: 16, memory_gb: 32 };
+const TOTAL: Resources = Resources {
+    accelerators: 4,
+    cpus: 16,
+    memory_gb: 32,
+};
 const GRACE_MS: Millis = 1_000;
 
 fn worker(key: u32) -> event::Worker {
@@ -34,11 +38,21 @@
 }
 
 fn resources(accelerators: u32) -> Resources {
-    Resources { accelerators, cpus: accelerators.max(1), memory_gb: accelerators.max(1) }
+    Resources {
+        accelerators,
+        cpus: accelerators.max(1),
+        memory_gb: accelerators.max(1),
+    }
 }
 
 fn shape(count: u32, workers: u32, accelerators: u32, within: Within) -> config::Shape {
-    config::Shape { count, workers, each: resources(accelerators), within, region: None }
+    config::Shape {
+        count,
+        workers,
+        each: resources(accelerators),
+        within,
+        region: None,
+    }
 }
 
 fn configuration(generation: u64, variant: u8) -> config::Config {
@@ -51,7 +65,10 @@
     };
     let first = match variant % 3 {
         0 => vec![shape(1, 2, 4, Within::Rack)],
-        1 => vec![shape(2, 1, 4, Within::Worker), shape(1, 2, 1, Within::Region)],
+        1 => vec![
+            shape(2, 1, 4, Within::Worker),
+            shape(1, 2, 1, Within::Region),
+        ],
         _ => vec![shape(1, 2, 2, Within::Rack), shape(2, 1, 1, Within::Worker)],
     };
     let accounts = [
@@ -61,18 +78,42 @@
         ("d", Vec::new()),
     ];
     let accounts = accounts.map(|(name, shapes)| (name.to_owned(), account(shapes)));
-    config::Config { generation, accounts: accounts.into(), ..config::Config::default() }
+    config::Config {
+        generation,
+        accounts: accounts.into(),
+        ..config::Config::default()
+    }
 }
 
 #[derive(Clone, Debug)]
 enum Step {
-    Submit { account: u8, tasks: u32, accelerators: u32, within: u8, urgent: bool, repeatable: bool },
-    End { pick: usize, how: u8 },
-    Cancel { pick: usize },
-    Down { worker: u32 },
-    Up { worker: u32 },
-    Configure { variant: u8 },
-    Pass { ms: Millis },
+    Submit {
+        account: u8,
+        tasks: u32,
+        accelerators: u32,
+        within: u8,
+        urgent: bool,
+        repeatable: bool,
+    },
+    End {
+        pick: usize,
+        how: u8,
+    },
+    Cancel {
+        pick: usize,
+    },
+    Down {
+        worker: u32,
+    },
+    Up {
+        worker: u32,
+    },
+    Configure {
+        variant: u8,
+    },
+    Pass {
+        ms: Millis,
+    },
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -109,7 +150,14 @@
     fn event(&mut self, step: &Step) -> Vec<Event> {
         self.now += 10;
         match step {
-            Step::Submit { account, tasks, accelerators, within, urgent, repeatable } => {
+            Step::Submit {
+                account,
+                tasks,
+                accelerators,
+                within,
+                urgent,
+                repeatable,
+            } => {
                 self.next += 1;
                 let within = [Within::Worker, Within::Rack, Within::Region][usize::from(*within)];
                 let spec = event::Spec {
@@ -130,16 +178,28 @@
             }
             Step::End { pick, how } => self.end(*pick, *how),
             Step::Cancel { pick } => {
-                let open: Vec<JobId> =
-                    self.specs.keys().filter(|id| !self.ended.contains_key(id)).copied().collect();
+                let open: Vec<JobId> = self
+                    .specs
+                    .keys()
+                    .filter(|id| !self.ended.contains_key(id))
+                    .copied()
+                    .collect();
                 let job = open.get(pick % open.len().max(1)).copied();
-                job.map(|job| Event::Cancel { job, kind: Kind::Cancelled }).into_iter().collect()
+                job.map(|job| Event::Cancel {
+                    job,
+                    kind: Kind::Cancelled,
+                })
+                .into_iter()
+                .collect()
             }
             Step::Down { worker } => {
                 self.down.insert(*worker, true);
                 let mut events = vec![Event::WorkerDown(fleet::Key(*worker))];
                 let lost = |placement: &event::Placement| {
-                    placement.members.iter().any(|member| member.worker.0 == *worker)
+                    placement
+                        .members
+                        .iter()
+                        .any(|member| member.worker.0 == *worker)
                 };
                 let jobs: Vec<JobId> = self
                     .running
@@ -149,8 +209,15 @@
                     .collect();
                 for job in jobs {
                     self.leave(job);
-                    let end = End::Lost { worker: Some(fleet::Key(*worker)), ran: true };
-                    events.push(Event::Ended { job, end, run_ms: 5 });
+                    let end = End::Lost {
+                        worker: Some(fleet::Key(*worker)),
+                        ran: true,
+                    };
+                    events.push(Event::Ended {
+                        job,
+                        end,
+                        run_ms: 5,
+                    });
                 }
                 events
             }
@@ -160,7 +227,10 @@
             }
             Step::Configure { variant } => {
                 self.generation += 1;
-                vec![Event::Configure(Arc::new(configuration(self.generation, *variant)))]
+                vec![Event::Configure(Arc::new(configuration(
+                    self.generation,
+                    *variant,
+                )))]
             }
             Step::Pass { ms } => {
                 self.now += ms;
@@ -171,27 +241,49 @@
 
     fn end(&mut self, pick: usize, how: u8) -> Vec<Event> {
         let jobs: Vec<JobId> = self.running.keys().copied().collect();
-        let Some(job) = jobs.get(pick % jobs.len().max(1)).copied() else { return Vec::new() };
+        let Some(job) = jobs.get(pick % jobs.len().max(1)).copied() else {
+            return Vec::new();
+        };
         let member = self.running[&job].members[0].worker;
         self.leave(job);
         let end = match how {
-            0 => End::Failed { worker: Some(member), ran: true },
-            1 => End::Failed { worker: None, ran: true },
-            2 => End::Lost { worker: None, ran: false },
+            0 => End::Failed {
+                worker: Some(member),
+                ran: true,
+            },
+            1 => End::Failed {
+                worker: None,
+                ran: true,
+            },
+            2 => End::Lost {
+                worker: None,
+                ran: false,
+            },
             _ => End::Done,
         };
-        vec![Event::Ended { job, end, run_ms: 1_000 }]
+        vec![Event::Ended {
+            job,
+            end,
+            run_ms: 1_000,
+        }]
     }
 
     /// Gangs whose grace is over have left.
     fn due(&mut self) -> Vec<Event> {
-        let due = self.stopping.iter().filter(|(_job, until)| **until <= self.now);
+        let due = self
+            .stopping
+            .iter()
+            .filter(|(_job, until)| **until <= self.now);
         let jobs: Vec<JobId> = due.map(|(job, _until)| *job).collect();
         let mut events = vec![Event::Tick];
         for job in jobs {
             self.leave(job);
             let end = End::Stopped { ran: true };
-            events.push(Event::Ended { job, end, run_ms: 1_000 });
+            events.push(Event::Ended {
+                job,
+                end,
+                run_ms: 1_000,
+            });
         }
         events
     }
@@ -207,22 +299,37 @@
                 let spec = &self.specs[&job];
                 let tasks: u32 = placement.members.iter().map(|member| member.tasks).sum();
                 assert_eq!(tasks, spec.tasks, "job {job} was placed in part");
-                assert!(!self.ended.contains_key(&job), "job {job} was placed after its end");
+                assert!(
+                    !self.ended.contains_key(&job),
+                    "job {job} was placed after its end"
+                );
                 let runs = self.runs.entry(job).or_default();
                 *runs += 1;
                 check_scope(spec, &placement);
-                assert!(self.running.insert(job, placement).is_none(), "job {job} runs twice");
+                assert!(
+                    self.running.insert(job, placement).is_none(),
+                    "job {job} runs twice"
+                );
             }
             Decision::Stop { job, .. } => {
                 let until = self.now + GRACE_MS;
                 self.stopping.insert(job, until);
             }
             Decision::End { job, kind, .. } => {
-                assert!(!self.running.contains_key(&job), "job {job} ended while it runs");
-                assert!(self.ended.insert(job, kind).is_none(), "job {job} ended twice");
+                assert!(
+                    !self.running.contains_key(&job),
+                    "job {job} ended while it runs"
+                );
+                assert!(
+                    self.ended.insert(job, kind).is_none(),
+                    "job {job} ended twice"
+                );
             }
             Decision::Requeue { job, .. } => {
-                assert!(!self.running.contains_key(&job), "job {job} was queued while it runs");
+                assert!(
+                    !self.running.contains_key(&job),
+                    "job {job} was queued while it runs"
+                );
             }
             Decision::Throttle { .. } | Decision::Quarantine { .. } => {}
         }
@@ -240,7 +347,10 @@
         for key in 0..WORKERS {
             let mut used = Resources::default();
             for (job, placement) in &self.running {
-                let here = placement.members.iter().filter(|member| member.worker.0 == key);
+                let here = placement
+                    .members
+                    .iter()
+                    .filter(|member| member.worker.0 == key);
                 here.for_each(|member| used += self.specs[job].each.scaled(member.tasks));
             }
             assert!(TOTAL.fits(&used), "worker {key} runs {used:?}");
@@ -252,7 +362,10 @@
         for key in 0..WORKERS {
             let mut bound = Resources::default();
             for gang in sched.guarantees().gangs() {
-                let here = gang.cells.iter().filter(|cell| cell.worker == Some(fleet::Key(key)));
+                let here = gang
+                    .cells
+                    .iter()
+                    .filter(|cell| cell.worker == Some(fleet::Key(key)));
                 here.for_each(|_cell| bound += gang.form.each);
             }
             assert!(TOTAL.fits(&bound), "worker {key} is bound for {bound:?}");
@@ -274,12 +387,21 @@
         }
         let mut slots = Vec::new();
         for (key, entry) in sched.fleet().iter() {
-            let mut free = if entry.state == fleet::State::Up { TOTAL } else { Resources::default() };
+            let mut free = if entry.state == fleet::State::Up {
+                TOTAL
+            } else {
+                Resources::default()
+            };
             for gang in gangs.iter().filter(|gang| gang.is_used()) {
                 let here = gang.cells.iter().filter(|cell| cell.worker == Some(key));
                 here.for_each(|_cell| free = free.less(&gang.form.each));
             }
-            slots.push(bind::Slot { region: entry.region.0, rack: entry.rack.0, free, busy: 0 });
+            slots.push(bind::Slot {
+                region: entry.region.0,
+                rack: entry.rack.0,
+                free,
+                busy: 0,
+            });
         }
         slots.sort_by_key(|slot| (slot.region, slot.rack));
         let idle = gangs.iter().filter(|gang| !gang.is_used());
@@ -317,8 +439,11 @@
 }
 
 fn check_scope(spec: &event::Spec, placement: &event::Placement) {
-    let places: Vec<event::Worker> =
-        placement.members.iter().map(|member| worker(member.worker.0)).collect();
+    let places: Vec<event::Worker> = placement
+        .members
+        .iter()
+        .map(|member| worker(member.worker.0))
+        .collect();
     let same = |of: fn(&event::Worker) -> String| {
         places.windows(2).all(|pair| of(&pair[0]) == of(&pair[1]))
     };
@@ -327,18 +452,26 @@
         Within::Rack => same(|worker| worker.rack.clone()),
         Within::Region => same(|worker| worker.region.clone()),
     };
-    assert!(ok, "job {} was spread beyond its {:?}", spec.id, spec.within);
+    assert!(
+        ok,
+        "job {} was spread beyond its {:?}",
+        spec.id, spec.within
+    );
 }
 
 /// Tries every way to place all gangs, cell by cell.
 fn brute_force(slots: &mut [bind::Slot], needs: &[bind::Need]) -> bool {
-    let Some((need, rest)) = needs.split_first() else { return true };
+    let Some((need, rest)) = needs.split_first() else {
+        return true;
+    };
     let scopes: Vec<Vec<usize>> = match need.within {
         Within::Worker => (0..slots.len()).map(|at| vec![at]).collect(),
         Within::Rack => group(slots, |slot| (slot.region, slot.rack)),
         Within::Region => group(slots, |slot| (slot.region, 0)),
     };
-    scopes.iter().any(|scope| place_cells(slots, need, scope, need.workers, rest))
+    scopes
+        .iter()
+        .any(|scope| place_cells(slots, need, scope, need.workers, rest))
 }
 
 fn group(slots: &[bind::Slot], key: impl Fn(&bind::Slot) -> (u32, u32)) -> Vec<Vec<usize>> {
@@ -374,14 +507,23 @@
 
 fn play(steps: &[Step], policy: Policy) {
     let mut sched = Sched::new(policy);
-    let mut oracle = Oracle { generation: 1, ..Oracle::default() };
-    let mut gate = event::Open { regions: vec!["east".to_owned(), "west".to_owned()] };
+    let mut oracle = Oracle {
+        generation: 1,
+        ..Oracle::default()
+    };
+    let mut gate = event::Open {
+        regions: vec!["east".to_owned(), "west".to_owned()],
+    };
     let first = (0..WORKERS).map(|key| Event::WorkerUp(worker(key)));
     let first = first.chain([Event::Configure(Arc::new(configuration(1, 0)))]);
     assert!(sched.step(0, first, &mut gate).is_empty());
     for step in steps {
         let mut events = oracle.event(step);
-        let due = if matches!(step, Step::Pass { .. }) { Vec::new() } else { oracle.due() };
+        let due = if matches!(step, Step::Pass { .. }) {
+            Vec::new()
+        } else {
+            oracle.due()
+        };
         events.extend(due);
         for decision in sched.step(oracle.now, events, &mut gate) {
             oracle.decided(decision);
@@ -390,22 +532,8 @@
     }
 }
 
-/// Cases to run: few in CI, more by `ORIOLEREEL_CASES`.
-fn cases(few: u32) -> u32 {
-    std::env::var("ORIOLEREEL_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(few)
-}
-
-fn config(few: u32) -> ProptestConfig {
-    ProptestConfig {
-        cases: cases(few),
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config(300))]
+    #![proptest_config(crate::support::proptest(300))]
 
     #[test]
     fn promises_hold_while_everything_happens_together(
