Fuzzing of agent and workers against an oracle that counts runs

Cause: at most once, whole answers and truthful ends need proof under loss, duplicates, crashes and cancellations together. Change: tests/tests/delivery.rs; the consensus test replaces a member only once an earlier repair is complete, and judges by the group's own membership (before, it destroyed a disk whose removal was never committed, and asked a removed member for the latest generation).

--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -2,6 +2,8 @@
 
 #[path = "tests/cluster.rs"]
 mod cluster;
+#[path = "tests/delivery.rs"]
+mod delivery;
 #[path = "tests/error.rs"]
 mod error;
 #[path = "tests/raft.rs"]
--- a/tests/tests/raft.rs
+++ b/tests/tests/raft.rs
@@ -428,24 +428,31 @@
     }
 
     /// A member loses its disk and is replaced by a new one under a new identity.
+    ///
+    /// Only once an earlier repair is complete: losing one disk after the other before that is a
+    /// loss of quorum, in which nothing is promised.
     fn replace(&mut self, id: Id) {
-        let leader = self.leader();
-        if leader.is_none() || leader == Some(id) {
+        let Some(leader) = self.leader().filter(|leader| *leader != id) else {
             return;
-        }
-        let Some(leader) = leader else { return };
-        if self.members.len() < 3 {
+        };
+        if !self.is_repaired(leader) {
             return;
         }
         self.crash(id, 0);
-        if self
-            .change(leader, &members::Change::Remove { id })
-            .is_err()
-        {
+        let removed = self.change(leader, &members::Change::Remove { id }).is_ok();
+        self.pass(400);
+        let gone = |running: &Running| {
+            !running.node.members().votes(id)
+                && !running.node.log().members_after(running.node.commit())
+        };
+        let done = self
+            .leader()
+            .and_then(|leader| self.running(leader))
+            .is_some_and(|it| gone(it));
+        if !removed || !done {
             self.start(id);
             return;
         }
-        self.pass(400);
         self.members.remove(&id);
         self.last_id += 1;
         let new = self.last_id;
@@ -473,6 +480,16 @@
         }
     }
 
+    /// Whether the voters are just the members there are.
+    fn is_repaired(&mut self, leader: Id) -> bool {
+        let ids: Vec<Id> = self.members.keys().copied().collect();
+        self.running(leader).is_some_and(|running| {
+            let members = running.node.members();
+            let voters: Vec<Id> = members.voters.keys().copied().collect();
+            voters == ids && members.learners.is_empty()
+        })
+    }
+
     fn change(&mut self, id: Id, change: &members::Change) -> error::Result<()> {
         let now = self.now;
         let Some(running) = self.running(id) else {
@@ -528,9 +545,17 @@
         self.propose(leader, 99);
         self.pass(2_000);
         let acked = self.acked.clone();
+        // A removal that could not be completed in time may have taken effect since.
+        let leader = self.leader().expect("it still leads");
+        let group = self
+            .running(leader)
+            .expect("it runs")
+            .node
+            .members()
+            .clone();
         for (id, member) in &self.members {
             let running = member.running.as_ref().expect("all run");
-            let votes = running.node.members().votes(*id);
+            let votes = group.votes(*id);
             let generation = running.ledger.config().generation;
             let last = acked.keys().next_back().copied().unwrap_or(0);
             assert!(
