--- a/src/raft/node/lead.rs
+++ b/src/raft/node/lead.rs
@@ -174,6 +174,14 @@
         };
         if index > self.commit && self.log.term(index) == Some(self.ballot.term) {
             self.commit_to(index);
+            self.announce_commit();
+        }
+    }
+
+    /// Tells the others of a commit at once: they hand grants and configuration on.
+    fn announce_commit(&mut self) {
+        for to in self.members.others(self.id) {
+            self.send_append(to, true);
         }
     }
 
