--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -439,17 +439,15 @@
 
 /// Name of the field that a reader's message is about: quoted in it, or the one it came under.
 fn culprit(table: &toml::Table, detail: &str) -> String {
-    let quoted = detail.split('`').nth(1).unwrap_or("name");
-    if table.contains_key(quoted) || detail.starts_with("missing") || detail.starts_with("unknown")
-    {
+    if let Some(quoted) = detail.split('`').nth(1) {
         return quoted.to_owned();
     }
-    let wrong_type = |value: &toml::Value| {
+    let is_shown = |value: &toml::Value| {
         let shown = value.to_string();
         detail.contains(shown.trim_matches('"'))
     };
-    let found = table.iter().find(|(_key, value)| wrong_type(value));
-    found.map_or_else(|| quoted.to_owned(), |(key, _value)| key.clone())
+    let found = table.iter().find(|(_key, value)| is_shown(value));
+    found.map_or_else(|| "name".to_owned(), |(key, _value)| key.clone())
 }
 
 /// Offset of a field's line inside an item, or of the item.
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -2,10 +2,14 @@
 
 #[path = "tests/cluster.rs"]
 mod cluster;
+#[path = "tests/config.rs"]
+mod config;
 #[path = "tests/delivery.rs"]
 mod delivery;
 #[path = "tests/error.rs"]
 mod error;
+#[path = "tests/limit.rs"]
+mod limit;
 #[path = "tests/raft.rs"]
 mod raft;
 #[path = "tests/sched.rs"]
