--- a/examples/scale.rs
+++ b/examples/scale.rs
@@ -11,9 +11,13 @@
 use oriolereel::config::{self, Resources, Within};
 use oriolereel::ledger::command::{Batch, Command};
 use oriolereel::ledger::{self, Ledger};
+use oriolereel::raft::members;
+use oriolereel::raft::message::{Entry, Payload};
+use oriolereel::raft::node;
 use oriolereel::sched::core::{Policy, Sched};
 use oriolereel::sched::event::{self, Decision, End, Event};
 use oriolereel::sched::fleet;
+use oriolereel::store::{self, folder};
 use oriolereel::wire::{self, frame};
 use oriolereel::{dev, error};
 use serde_json::json;
@@ -37,6 +41,9 @@
     ledger_bytes();
     frames();
     configuration_change();
+    for entries in [1_000, 10_000, 50_000] {
+        recovery(entries);
+    }
 }
 
 /// Every ninth worker holds 11 accelerators, so that 2,700 workers hold 3,300.
@@ -480,3 +487,54 @@
         })
     );
 }
+
+/// Time from a data folder with so many entries to the ledger in memory.
+fn recovery(entries: u64) {
+    let path = std::env::temp_dir().join(format!("oriolereel-scale-{}", std::process::id()));
+    let result = recover(&path, entries);
+    let removed = std::fs::remove_dir_all(&path);
+    match (result, removed) {
+        (Ok(line), Ok(())) => println!("{line}"),
+        (result, removed) => eprintln!("{result:?} {removed:?}"),
+    }
+}
+
+fn recover(path: &std::path::Path, entries: u64) -> error::Result<serde_json::Value> {
+    let voters: BTreeMap<u64, _> = [(1, dev::loopback(1))].into();
+    let mut disk = folder::Folder::open(path)?;
+    store::init(&mut disk, 1, Some(members::Members::initial(voters)))?;
+    let (mut store, _found) = store::Store::open(disk, 1)?;
+    let mut written = 0;
+    for first in (2..entries + 2).step_by(100) {
+        let batch = (first..first + 100).map(|index| {
+            let data = Batch {
+                at_ms: 1_000,
+                commands: life(index, 16),
+            }
+            .encode()?;
+            written += data.len();
+            Ok(Entry {
+                index,
+                term: 1,
+                payload: Payload::Command(data),
+            })
+        });
+        let batch: error::Result<Vec<Entry>> = batch.collect();
+        store.write(&[node::Write::Append(batch?)])?;
+    }
+    drop(store);
+    let start = Instant::now();
+    let (_store, found) = store::Store::open(folder::Folder::open(path)?, 1)?;
+    let open_ms = start.elapsed().as_secs_f64() * 1e3;
+    let mut ledger = Ledger::default();
+    for entry in found.log.slice(2, usize::MAX) {
+        if let Payload::Command(data) = entry.payload {
+            ledger.apply(entry.index, Batch::decode(&data)?);
+        }
+    }
+    let whole_ms = start.elapsed().as_secs_f64() * 1e3;
+    Ok(json!({
+        "measure": "recovery", "entries": entries, "log_bytes": written,
+        "open_ms": open_ms, "open_and_apply_ms": whole_ms, "jobs": ledger.job_count(),
+    }))
+}
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -137,7 +137,7 @@
         for job in ledger.jobs() {
             match &job.phase {
                 ledger::Phase::Granted(grant) => {
-                    self.route.adopt(job.id, &grant.agent);
+                    self.route.adopt(job.id, &job.request.account, &grant.agent);
                     self.deadlines.insert((job.deadline_ms(), job.id));
                     events.push(Event::Adopt {
                         spec: job.spec(),
--- a/src/route.rs
+++ b/src/route.rs
@@ -21,6 +21,9 @@
 /// First time of an ejection.
 const EJECT_MS: u64 = 10_000;
 
+/// Time for which an account counts as present after its last job.
+const PRESENT_MS: u64 = 60_000;
+
 /// Longest time of an ejection.
 const MAX_EJECT_MS: u64 = 300_000;
 
@@ -57,13 +60,22 @@
     }
 }
 
+/// Which target a job has, and for whom.
+#[derive(Clone, Debug)]
+struct Assigned {
+    agent: String,
+    account: String,
+}
+
 /// All targets, by the name of their agent.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     now: u64,
     rng: u64,
     targets: BTreeMap<String, Target>,
-    assigned: map::Map<JobId, String>,
+    assigned: map::Map<JobId, Assigned>,
+    /// When each account last had a job placed.
+    present: map::Map<String, u64>,
     /// Answer bytes moved from a region to another.
     volume: map::Map<(String, String), u64>,
 }
@@ -95,7 +107,7 @@
                 taken: self
                     .assigned
                     .values()
-                    .filter(|agent| **agent == node.name)
+                    .filter(|found| found.agent == node.name)
                     .count() as u32,
                 failures: 0,
                 ejections: 0,
@@ -119,16 +131,18 @@
 
     /// The target that a job was assigned to.
     pub fn assigned(&self, job: JobId) -> Option<(&String, &Target)> {
-        let agent = self.assigned.get(&job)?;
+        let agent = &self.assigned.get(&job)?.agent;
         self.targets.get_key_value(agent)
     }
 
     /// Restores an assignment that the ledger records.
-    pub fn adopt(&mut self, job: JobId, agent: &str) {
+    pub fn adopt(&mut self, job: JobId, account: &str, agent: &str) {
         if let Some(target) = self.targets.get_mut(agent) {
             target.taken += 1;
         }
-        self.assigned.insert(job, agent.to_owned());
+        self.present.insert(account.to_owned(), self.now);
+        let (agent, account) = (agent.to_owned(), account.to_owned());
+        self.assigned.insert(job, Assigned { agent, account });
     }
 
     /// Counts the outcome of a request at a target.
@@ -181,12 +195,27 @@
         usable * 2 >= all
     }
 
-    fn usable(&self, target: &Target, service: &str) -> bool {
+    fn usable(&self, name: &str, target: &Target, spec: &Spec) -> bool {
         target.info.ready
-            && target.free() > 0
+            && target.free() > self.kept(name, target, &spec.account)
             && self.now < target.heard_ms + SILENCE_MS
             && target.ejected_until_ms <= self.now
-            && target.info.services.iter().any(|name| name == service)
+            && target.info.services.contains(&spec.service)
+    }
+
+    /// Slots that an account leaves to others: the last one, if it has all the rest and another
+    /// account was present of late. So one account's flood does not make another wait for a slot.
+    fn kept(&self, agent: &str, target: &Target, account: &str) -> u32 {
+        let others = self
+            .present
+            .iter()
+            .any(|(name, at_ms)| name != account && self.now < at_ms + PRESENT_MS);
+        if !others || target.info.slots < 2 {
+            return 0;
+        }
+        let own = |found: &&Assigned| found.agent == agent && found.account == account;
+        let mine = self.assigned.values().filter(own).count() as u32;
+        u32::from(mine + 1 >= target.info.slots)
     }
 
     fn random(&mut self, below: usize) -> usize {
@@ -200,11 +229,11 @@
 impl Gate for Table {
     fn regions(&self, spec: &Spec) -> Vec<String> {
         let mut found: Vec<(bool, u64, String)> = Vec::new();
-        for target in self.targets.values() {
+        for (name, target) in &self.targets {
             let listed = found
                 .iter()
                 .any(|(_far, _volume, region)| *region == target.region);
-            if listed || !self.usable(target, &spec.service) {
+            if listed || !self.usable(name, target, spec) {
                 continue;
             }
             let pair = (target.region.clone(), spec.region.clone());
@@ -222,7 +251,7 @@
         let candidates: Vec<String> = self
             .targets
             .iter()
-            .filter(|(_name, target)| target.region == region && self.usable(target, &spec.service))
+            .filter(|(name, target)| target.region == region && self.usable(name, target, spec))
             .map(|(name, _target)| name.clone())
             .collect();
         let Some(first) = candidates.get(self.random(candidates.len())).cloned() else {
@@ -234,12 +263,12 @@
         } else {
             first
         };
-        self.adopt(spec.id, &better);
+        self.adopt(spec.id, &spec.account, &better);
     }
 
     fn release(&mut self, job: JobId) {
-        if let Some(agent) = self.assigned.remove(&job)
-            && let Some(target) = self.targets.get_mut(&agent)
+        if let Some(found) = self.assigned.remove(&job)
+            && let Some(target) = self.targets.get_mut(&found.agent)
         {
             target.taken = target.taken.saturating_sub(1);
         }
--- a/src/sched/guarantee/claim.rs
+++ b/src/sched/guarantee/claim.rs
@@ -43,7 +43,8 @@
     times: u32,
     /// Tasks that fit without vacating anything.
     free_times: u32,
-    fresh: bool,
+    /// Accelerators of the whole gang if it is idle as yet, and one for the gang; else zero.
+    opens: u32,
 }
 
 impl Book {
@@ -59,8 +60,8 @@
         let scopes = offers.chunk_by(|a, b| a.scope == b.scope);
         let plans = scopes.filter_map(|scope| self.fill(fleet, spec, scope));
         plans
-            .min_by_key(|(plan, fresh)| (plan.cost(), *fresh))
-            .map(|(plan, _fresh)| plan)
+            .min_by_key(|(plan, opened)| (plan.cost(), *opened))
+            .map(|(plan, _opened)| plan)
     }
 
     fn offers(
@@ -75,7 +76,8 @@
         };
         for at in own {
             let gang = &self.gangs[*at];
-            let fresh = !gang.is_used();
+            let whole = gang.form.each.accelerators * gang.form.workers + 1;
+            let opens = if gang.is_used() { 0 } else { whole };
             for (cell_at, cell) in gang.cells.iter().enumerate() {
                 let Some(key) = cell.worker else { continue };
                 let Some(worker) = fleet.get(key) else {
@@ -103,20 +105,20 @@
                     worker: key,
                     times,
                     free_times,
-                    fresh,
+                    opens,
                 });
             }
         }
         offers
     }
 
-    /// Puts the tasks into the cells of one scope; also tells how many idle gangs that opens.
+    /// Puts the tasks into the cells of one scope; also tells how much of idle gangs that opens.
     fn fill(
         &self,
         fleet: &fleet::Fleet,
         spec: &event::Spec,
         scope: &[Offer],
-    ) -> Option<(Plan, usize)> {
+    ) -> Option<(Plan, u32)> {
         if scope.iter().map(|offer| offer.times).sum::<u32>() < spec.tasks {
             return None;
         }
@@ -124,7 +126,7 @@
         order.sort_by_key(|offer| {
             (
                 offer.times - offer.free_times,
-                offer.fresh,
+                offer.opens,
                 offer.gang,
                 offer.cell,
             )
@@ -139,14 +141,14 @@
                 break;
             }
         }
-        let mut fresh: Vec<usize> = chosen
+        let mut opened: Vec<(usize, u32)> = chosen
             .iter()
-            .filter(|(offer, _)| offer.fresh)
-            .map(|(offer, _)| offer.gang)
+            .map(|(offer, _tasks)| (offer.gang, offer.opens))
             .collect();
-        fresh.sort_unstable();
-        fresh.dedup();
-        Some((self.write_plan(fleet, spec, &chosen), fresh.len()))
+        opened.sort_unstable();
+        opened.dedup();
+        let opened = opened.iter().map(|(_gang, opens)| opens).sum();
+        Some((self.write_plan(fleet, spec, &chosen), opened))
     }
 
     fn write_plan(
--- a/tests/tests/limit.rs
+++ b/tests/tests/limit.rs
@@ -113,3 +113,29 @@
         "half of the targets are never ejected"
     );
 }
+
+#[test]
+fn an_account_that_has_all_slots_but_one_leaves_the_last_to_others() {
+    let of = |id: u64, account: &str| Spec {
+        account: account.to_owned(),
+        ..spec(id)
+    };
+    let mut table = route::Table::new(1);
+    table.hear(1_000, &node("a", "east"), &target(true));
+    table.take(&of(1, "flood"), "east");
+    assert_eq!(
+        table.regions(&of(2, "flood")),
+        ["east"],
+        "alone it may have all"
+    );
+    table.take(&of(3, "quiet"), "east");
+    table.release(3);
+    assert!(
+        table.regions(&of(2, "flood")).is_empty(),
+        "another account was here of late"
+    );
+    assert_eq!(table.regions(&of(4, "quiet")), ["east"]);
+    table.tick(120_000);
+    table.hear(120_000, &node("a", "east"), &target(true));
+    assert_eq!(table.regions(&of(2, "flood")), ["east"], "it has left");
+}
