Leases of wide gangs last 15 s; frozen leader and agent proved

Cause: renewing a gang on 256 workers every 1.5 s cost 63 KB/s against 24 KB/s (worked out from the message); SIGSTOP was not proved. Change: leases of 15 s beyond 64 members, renewed after a third of the term; two tests with real processes that freeze and thaw. Conclusion: one such gang at an agent is within the bound, two are not.

--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -23,11 +23,11 @@
 use crate::sched::fleet;
 use crate::wire::frame;
 
-/// Term of a lease on a worker.
-pub const LEASE_MS: u64 = 5_000;
+/// Renewals in the term of a lease.
+const RENEWALS: u64 = 3;
 
-/// Interval of renewals.
-const RENEW_MS: u64 = 1_500;
+/// Interval at which renewals that are due are gathered.
+const GATHER_MS: u64 = 500;
 
 /// Margin for clocks that run at different speeds.
 const DRIFT_MS: u64 = 500;
--- a/src/agent/core/lease.rs
+++ b/src/agent/core/lease.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::agent::core::{Core, DRIFT_MS, Effect, LEASE_MS, Order, RENEW_MS};
+use crate::agent::core::{Core, DRIFT_MS, Effect, GATHER_MS, Order, RENEWALS};
 use crate::agent::gang::{self, Gang, Lease, Stage};
 use crate::error;
 use crate::platform::{self, Op, Outcomes, Refusal, Verb, client};
@@ -36,7 +36,7 @@
         };
         let workers: Vec<fleet::Key> = gang.members.keys().copied().collect();
         for worker in workers {
-            let op = gang.op(worker, verb, LEASE_MS);
+            let op = gang.op(worker, verb);
             gang.sending(worker, verb, self.now);
             let addr = gang.members[&worker].info.addr;
             self.out.push(Effect::Lease(Order {
@@ -223,7 +223,7 @@
             .map(|(worker, _member)| *worker)
             .collect();
         for worker in open {
-            let op = gang.op(worker, Verb::Release, 0);
+            let op = gang.op(worker, Verb::Release);
             gang.sending(worker, Verb::Release, self.now);
             let addr = gang.members[&worker].info.addr;
             self.out.push(Effect::Lease(Order {
@@ -237,7 +237,7 @@
 
     /// Renews everything held, in one message for each worker; repeats releases.
     pub(super) fn renew(&mut self) {
-        if self.now < self.renewed_ms + RENEW_MS {
+        if self.now < self.renewed_ms + GATHER_MS {
             return;
         }
         self.renewed_ms = self.now;
@@ -251,18 +251,22 @@
             if gang.stage == Stage::Queued {
                 continue;
             }
-            let due = |lease: Lease| match verb {
-                Verb::Renew => matches!(lease, Lease::Prepared | Lease::Started),
-                _ => lease != Lease::Released,
+            let interval_ms = gang.lease_ms() / RENEWALS;
+            let due = |member: &gang::Member| match verb {
+                Verb::Renew => {
+                    matches!(member.lease, Lease::Prepared | Lease::Started)
+                        && self.now >= member.sent_ms + interval_ms
+                }
+                _ => member.lease != Lease::Released,
             };
             let workers: Vec<fleet::Key> = gang
                 .members
                 .iter()
-                .filter(|(_worker, member)| due(member.lease) && !member.busy)
+                .filter(|(_worker, member)| due(member) && !member.busy)
                 .map(|(worker, _member)| *worker)
                 .collect();
             for worker in workers {
-                let op = gang.op(worker, verb, LEASE_MS);
+                let op = gang.op(worker, verb);
                 gang.sending(worker, verb, self.now);
                 let addr = gang.members[&worker].info.addr;
                 let entry = messages.entry(worker).or_insert((addr, Vec::new()));
@@ -284,9 +288,10 @@
                 lost.extend(expired(gang, now).map(|worker| (*job, worker)));
             }
             if gang.stage == Stage::Releasing {
+                let lease_ms = gang.lease_ms();
                 for member in gang.members.values_mut() {
                     // Both clocks may run at different speeds, hence the margin.
-                    if now >= member.sent_ms + LEASE_MS + DRIFT_MS {
+                    if now >= member.sent_ms + lease_ms + DRIFT_MS {
                         member.lease = Lease::Released;
                     }
                 }
@@ -304,7 +309,8 @@
 
 /// A member whose lease has run out on the worker's side.
 fn expired(gang: &Gang, now: u64) -> Option<fleet::Key> {
-    let over = |confirmed_ms: u64| now >= confirmed_ms + LEASE_MS;
+    let lease_ms = gang.lease_ms();
+    let over = |confirmed_ms: u64| now >= confirmed_ms + lease_ms;
     let found = gang
         .members
         .iter()
--- a/src/agent/gang.rs
+++ b/src/agent/gang.rs
@@ -4,7 +4,7 @@
 
 use crate::error;
 use crate::ledger;
-use crate::platform::{Op, Refusal, Verb};
+use crate::platform::{self, Op, Refusal, Verb};
 use crate::sched::event;
 use crate::sched::fleet;
 use crate::wire::frame;
@@ -113,7 +113,7 @@
     }
 
     /// Operation for one member.
-    pub fn op(&self, worker: fleet::Key, verb: Verb, ttl_ms: u64) -> Op {
+    pub fn op(&self, worker: fleet::Key, verb: Verb) -> Op {
         let tasks = self
             .members
             .get(&worker)
@@ -124,7 +124,7 @@
             token: self.grant.token,
             tasks,
             each: self.grant.each,
-            ttl_ms,
+            ttl_ms: self.lease_ms(),
         }
     }
 
@@ -169,6 +169,11 @@
         }
     }
 
+    /// Term of its leases.
+    pub fn lease_ms(&self) -> u64 {
+        platform::lease_ms(self.members.len())
+    }
+
     /// Names of the workers, for the target.
     pub fn names(&self) -> String {
         let names = self
--- a/src/control/leader/fleet.rs
+++ b/src/control/leader/fleet.rs
@@ -4,6 +4,7 @@
 
 use crate::control::leader::{Heard, Leader};
 use crate::ledger::{self, Command, Ledger};
+use crate::platform;
 use crate::sched::event::{self, Event};
 use crate::sched::fleet;
 use crate::sched::{JobId, Millis};
@@ -12,8 +13,8 @@
 /// Silence after which an agent counts as dead or cut off.
 pub const AGENT_DEAD_MS: Millis = 10_000;
 
-/// Longest that a worker's lease can outlive its agent, drift included.
-const LEASES_OVER_MS: Millis = 8_000;
+/// Time beyond a lease's term after which it is certainly over, drift included.
+const LEASE_MARGIN_MS: Millis = 3_000;
 
 /// Term of a grant; longer than regions lose each other.
 const GRANT_MS: Millis = 4 * 3_600_000;
@@ -206,7 +207,7 @@
                 let Some(grant) = job.grant() else { continue };
                 let restarted = heard.is_some_and(|heard| {
                     heard.node.incarnation != grant.incarnation
-                        && now > heard.since_ms + LEASES_OVER_MS
+                        && now > heard.since_ms + leases_over_ms(grant)
                 });
                 let dead = silent_ms > AGENT_DEAD_MS && self.is_released(ledger, job, grant);
                 let term_over = now > grant.placed_ms + GRANT_MS && silent_ms > AGENT_DEAD_MS;
@@ -223,7 +224,7 @@
 
     /// Whether every member was reported without a lease of the job after its agent fell silent.
     fn is_released(&self, ledger: &Ledger, job: &ledger::Job, grant: &ledger::Grant) -> bool {
-        if self.now < grant.placed_ms + AGENT_DEAD_MS + LEASES_OVER_MS {
+        if self.now < grant.placed_ms + AGENT_DEAD_MS + leases_over_ms(grant) {
             return false;
         }
         grant.placement.members.iter().all(|member| {
@@ -240,3 +241,8 @@
         })
     }
 }
+
+/// Longest that the workers' leases of a grant can outlive its agent.
+fn leases_over_ms(grant: &ledger::Grant) -> Millis {
+    platform::lease_ms(grant.placement.members.len()) + LEASE_MARGIN_MS
+}
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -35,6 +35,19 @@
 /// Header with the time left, in milliseconds.
 pub const REMAINING_HEADER: &str = "oriolereel-remaining-ms";
 
+/// Members from which a gang counts as wide.
+const WIDE_MEMBERS: usize = 64;
+
+/// Term of a lease on a worker. That of a wide gang is longer, so that renewing it on every member
+/// stays within 24 KB a second.
+pub const fn lease_ms(members: usize) -> u64 {
+    if members > WIDE_MEMBERS {
+        15_000
+    } else {
+        5_000
+    }
+}
+
 /// What is done to a lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/tests/tests/cluster.rs
+++ b/tests/tests/cluster.rs
@@ -42,14 +42,19 @@
         drop(self.0.wait());
     }
 
-    /// Asks it to end and waits; tells whether it ended by itself and well.
-    pub fn terminate(&mut self) -> bool {
-        let id = self.0.id().to_string();
-        let asked = Command::new("kill").args(["-TERM", &id]).status();
+    /// Sends it a signal.
+    pub fn signal(&self, name: &str) {
+        let (option, id) = (format!("-{name}"), self.0.id().to_string());
+        let sent = Command::new("kill").args([option, id]).status();
         assert!(
-            asked.is_ok_and(|status| status.success()),
+            sent.is_ok_and(|status| status.success()),
             "no signal was sent"
         );
+    }
+
+    /// Asks it to end and waits; tells whether it ended by itself and well.
+    pub fn terminate(&mut self) -> bool {
+        self.signal("TERM");
         let start = Instant::now();
         while start.elapsed() < PATIENCE {
             if let Ok(Some(status)) = self.0.try_wait() {
--- a/tests/tests/delivery.rs
+++ b/tests/tests/delivery.rs
@@ -26,7 +26,7 @@
     cpus: 1,
     memory_gb: 1,
 };
-const LEASE_MS: u64 = oriolereel::agent::core::LEASE_MS;
+const LEASE_MS: u64 = platform::lease_ms(WORKERS as usize);
 
 /// A lease message on its way to a worker, or its answer on the way back.
 #[derive(Debug)]
--- a/tests/tests/system.rs
+++ b/tests/tests/system.rs
@@ -443,3 +443,68 @@
         );
     }
 }
+
+/// Waits until something holds; fails when it never does.
+fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < cluster::PATIENCE, "never: {what}");
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+#[test]
+fn a_frozen_leader_neither_blocks_nor_reverts() {
+    let mut cluster = Cluster::start();
+    let frozen = cluster.leader();
+    cluster
+        .control
+        .get_mut(&frozen)
+        .expect("a member")
+        .signal("STOP");
+    cluster.apply(2, 5).expect("the others go on");
+    let told = cluster::submit(cluster.entries[0].1, "k", &json!({}), true, 19);
+    assert_eq!(told.expect("an answer").status, 200);
+    cluster
+        .control
+        .get_mut(&frozen)
+        .expect("a member")
+        .signal("CONT");
+    let (_wire, http) = cluster.control_addrs[&frozen];
+    let one = console::Console {
+        control: vec![http],
+        ..cluster.console()
+    };
+    eventually("the thawed member follows", || {
+        let status = one.get("/v1/status").unwrap_or_default();
+        status["role"] != "leader" && status["generation"] == 2
+    });
+    let old = cluster.apply(1, 9).expect_err("an older generation");
+    assert!(old.to_string().contains("409"), "{old}");
+}
+
+#[test]
+fn a_frozen_agent_runs_nothing_a_second_time() {
+    let cluster = Cluster::start();
+    let entry = cluster.entries[0].1;
+    let body = json!({ "standin": { "work_ms": 2500 } });
+    let sent = body.clone();
+    let caller = thread::spawn(move || cluster::submit(entry, "k", &sent, true, 40));
+    eventually("the target has it", || {
+        cluster.target.runs(&body.to_string()) == 1
+    });
+    cluster.agent.signal("STOP");
+    let told = caller.join().expect("it lives").expect("an answer");
+    check_honest("frozen agent", &told, 1);
+    assert_ne!(told.ran, "no", "{told:?}");
+    eventually("its leases end", || {
+        cluster
+            .workers
+            .iter()
+            .all(|worker| worker.jobs().is_empty())
+    });
+    cluster.agent.signal("CONT");
+    let after = cluster::submit(entry, "after", &json!({ "n": 2 }), true, 19);
+    check_honest("after the thaw", &after.expect("an answer"), 1);
+    assert_eq!(cluster.target.runs(&body.to_string()), 1);
+}
