Logs tell each decision and answer; one place for what a gang holds on a worker

Cause: the same sum over a gang's members stood three times; requests and decisions were not in the log; the metric of cross-region bytes was never moved.

--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -13,6 +13,7 @@
 
 use crate::config;
 use crate::error;
+use crate::explain;
 use crate::ledger::{self, Command, Ledger};
 use crate::limit;
 use crate::map;
@@ -258,6 +259,9 @@
         telemetry::DECISIONS
             .with_label_values(&[name(&decision)])
             .inc();
+        if let Some((job, reason)) = told(&decision) {
+            log::info!(job = job, decision = name(&decision); "{}", explain::sentence(reason));
+        }
         match decision {
             Decision::Place {
                 job,
@@ -341,8 +345,7 @@
             };
             let key = (fresh.request.account, fresh.request.key);
             self.submitted.remove(&key);
-            let err =
-                error::Error::new(*kind, crate::explain::sentence(reason)).with_ran(error::Ran::No);
+            let err = error::Error::new(*kind, explain::sentence(reason)).with_ran(error::Ran::No);
             for (reply, _resent) in self.submitters.remove(job).unwrap_or_default() {
                 reply.fail(err.clone());
             }
@@ -456,6 +459,18 @@
     }
 }
 
+/// Job and reason of a decision, for the log.
+fn told(decision: &Decision) -> Option<(JobId, &event::Reason)> {
+    match decision {
+        Decision::Place { job, reason, .. }
+        | Decision::Stop { job, reason, .. }
+        | Decision::Throttle { job, reason }
+        | Decision::Requeue { job, reason }
+        | Decision::End { job, reason, .. } => Some((*job, reason)),
+        Decision::Quarantine { .. } => None,
+    }
+}
+
 fn name(decision: &Decision) -> &'static str {
     match decision {
         Decision::Place { .. } => "place",
--- a/src/control/leader/verdict.rs
+++ b/src/control/leader/verdict.rs
@@ -42,6 +42,9 @@
                 .map(|agent| agent.region.clone());
             let from = region.unwrap_or_default();
             self.route.moved(&from, &job.request.region, answer.length);
+            if from != job.request.region {
+                telemetry::CROSS_REGION_BYTES.inc_by(answer.length);
+            }
         }
         self.ended(job, finish.end, finish.run_ms);
         self.finishing.insert(job, finish);
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -29,6 +29,9 @@
 /// Bound of a call that only reads.
 const READ_LIMIT: Duration = Duration::from_secs(8);
 
+/// Paths of the platform's announcements.
+const PLATFORM_PATHS: &str = "/v1/platform/";
+
 /// Longest that a caller waits past its deadline for word from control.
 const DEADLINE_GRACE: Duration = Duration::from_millis(500);
 
@@ -124,16 +127,11 @@
     fn handle(&self, request: &serve::Request) -> serve::Response {
         let start = Instant::now();
         let result = self.route(request);
-        let kind = result
-            .as_ref()
-            .err()
-            .map_or("answered", |err| err.kind.row().name);
-        telemetry::REQUESTS.with_label_values(&[kind]).inc();
-        telemetry::REQUEST_SECONDS.observe(start.elapsed().as_secs_f64());
-        result.unwrap_or_else(|err| {
-            log::debug!(kind = kind; "{}", err.detail);
-            serve::problem(&err)
-        })
+        let is_callers = !request.uri().path().starts_with(PLATFORM_PATHS);
+        if is_callers {
+            count(&result, start.elapsed());
+        }
+        result.unwrap_or_else(|err| serve::problem(&err))
     }
 
     fn readiness(&self) -> std::result::Result<(), String> {
@@ -358,6 +356,24 @@
     }
 }
 
+/// Counts and logs what a caller was told.
+fn count(result: &error::Result<serve::Response>, took: Duration) {
+    let kind = result
+        .as_ref()
+        .err()
+        .map_or("answered", |err| err.kind.row().name);
+    telemetry::REQUESTS.with_label_values(&[kind]).inc();
+    telemetry::REQUEST_SECONDS.observe(took.as_secs_f64());
+    let told = result
+        .as_ref()
+        .ok()
+        .and_then(|response| response.headers().get(headers::REQUEST));
+    let request = told.and_then(|value| value.to_str().ok()).unwrap_or("-");
+    let detail = result.as_ref().err().map_or("", |err| err.detail.as_str());
+    let ms = took.as_millis() as u64;
+    log::info!(request = request, kind = kind, ms = ms; "{detail}");
+}
+
 /// Checksum by which a reused key is told from a resend.
 fn digest(service: &str, repeatable: bool, body: &[u8]) -> u32 {
     let mut hasher = crc32fast::Hasher::new();
--- a/src/sched/core.rs
+++ b/src/sched/core.rs
@@ -84,6 +84,20 @@
         self.spec.each.accelerators * self.spec.tasks
     }
 
+    /// What its gang holds on a worker.
+    fn held_on(&self, worker: fleet::Key) -> Resources {
+        let members = self
+            .state
+            .placement()
+            .map(|placement| placement.members.iter());
+        let here = members
+            .into_iter()
+            .flatten()
+            .filter(|member| member.worker == worker);
+        let tasks = here.map(|member| member.tasks).sum();
+        self.spec.each.scaled(tasks)
+    }
+
     fn is_waiting(&self) -> bool {
         matches!(self.state, State::Waiting)
     }
--- a/src/sched/core/consolidate.rs
+++ b/src/sched/core/consolidate.rs
@@ -123,20 +123,9 @@
 
     fn movable_use(&self, worker: fleet::Key, wide: &Job) -> Resources {
         let mut sum = Resources::default();
-        for key in self.residents.get(worker.0 as usize).into_iter().flatten() {
-            if !self.is_movable(*key, wide) {
-                continue;
-            }
-            let job = &self.jobs[*key];
-            let members = job
-                .state
-                .placement()
-                .map(|placement| placement.members.iter());
-            let here = members
-                .into_iter()
-                .flatten()
-                .filter(|member| member.worker == worker);
-            here.for_each(|member| sum += job.spec.each.scaled(member.tasks));
+        let here = self.residents.get(worker.0 as usize).into_iter().flatten();
+        for key in here.filter(|key| self.is_movable(**key, wide)) {
+            sum += self.jobs[*key].held_on(worker);
         }
         sum
     }
--- a/src/sched/core/dispatch.rs
+++ b/src/sched/core/dispatch.rs
@@ -89,15 +89,7 @@
             .skip(1);
         let mut used = entry.used;
         for job in later.map(|other| &self.jobs[*other]) {
-            let members = job
-                .state
-                .placement()
-                .map(|placement| placement.members.iter());
-            let here = members
-                .into_iter()
-                .flatten()
-                .filter(|member| member.worker == worker);
-            here.for_each(|member| used = used.less(&job.spec.each.scaled(member.tasks)));
+            used = used.less(&job.held_on(worker));
         }
         !entry.total.fits(&used)
     }
@@ -276,14 +268,10 @@
     /// Resources of gangs that are being stopped on a worker.
     fn leaving(&self, key: fleet::Key) -> Resources {
         let mut sum = Resources::default();
-        for job in self.residents.get(key.0 as usize).into_iter().flatten() {
-            let job = &self.jobs[*job];
-            if let State::Stopping { placement, .. } = &job.state {
-                let here = placement
-                    .members
-                    .iter()
-                    .filter(|member| member.worker == key);
-                here.for_each(|member| sum += job.spec.each.scaled(member.tasks));
+        let here = self.residents.get(key.0 as usize).into_iter().flatten();
+        for job in here.map(|job| &self.jobs[*job]) {
+            if matches!(job.state, State::Stopping { .. }) {
+                sum += job.held_on(key);
             }
         }
         sum
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -140,11 +140,11 @@
     )
 });
 
-/// Bytes of answers fetched from agents of other regions.
+/// Bytes of answers that crossed regions, counted by the leader.
 pub static CROSS_REGION_BYTES: LazyLock<IntCounter> = LazyLock::new(|| {
     counter(
         "oriolereel_cross_region_bytes_total",
-        "Answer bytes fetched from other regions",
+        "Answer bytes that crossed regions",
     )
 });
 
