--- a/src/explain.rs
+++ b/src/explain.rs
@@ -1,4 +1,4 @@
-//! Reasons of decisions as sentences that a customer can check.
+//! Reasons of decisions as sentences that a client account can check.
 
 use crate::sched::event::{Cause, Reason};
 
--- a/src/sched/event.rs
+++ b/src/sched/event.rs
@@ -174,7 +174,7 @@
     },
 }
 
-/// The account of a decision, in terms that a customer can check.
+/// The account of a decision, in terms that a client account can check.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reason {
     /// Runs in the account's own cells.
