A leaving target is proved with real processes; dead code out

Cause: reading the change again: Sched::is_running and Sched::shortfall_of had no caller, the leader and a follower were picked alike in three tests, and the promise on leaving targets was proved at the routing table only.

--- a/src/sched/core.rs
+++ b/src/sched/core.rs
@@ -281,12 +281,6 @@
         self.jobs.get(*self.ids.get(&job)?)?.state.placement()
     }
 
-    /// Whether a gang's resources are in use by tasks, rather than awaited.
-    pub fn is_running(&self, job: JobId) -> bool {
-        let found = self.ids.get(&job).and_then(|key| self.jobs.get(*key));
-        found.is_some_and(|job| matches!(job.state, State::Running { .. } | State::Stopping { .. }))
-    }
-
     /// Whether the job is known and has not ended.
     pub fn knows(&self, job: JobId) -> bool {
         self.ids.contains_key(&job)
--- a/src/sched/core/lifecycle.rs
+++ b/src/sched/core/lifecycle.rs
@@ -8,7 +8,6 @@
 use crate::sched::event::{self, Cause, Decision, End, Gate, Reason};
 use crate::sched::fleet;
 use crate::sched::gang;
-use crate::sched::guarantee;
 use crate::sched::health;
 use crate::sched::measure;
 use crate::sched::{JobId, Millis};
@@ -534,11 +533,4 @@
             reason,
         });
     }
-
-    /// Guaranteed gangs of an account that lack workers.
-    pub fn shortfall_of(&self, account: &str) -> Option<&guarantee::Shortfall> {
-        self.shortfalls
-            .iter()
-            .find(|shortfall| shortfall.account == account)
-    }
 }
--- a/tests/tests/raft.rs
+++ b/tests/tests/raft.rs
@@ -681,12 +681,17 @@
     }
 }
 
+/// The leader, and a member that does not lead.
+fn leader_and_other(world: &World) -> (Id, Id) {
+    let leader = world.leader().expect("a leader");
+    (leader, if leader == 1 { 2 } else { 1 })
+}
+
 #[test]
 fn a_member_that_lost_its_disk_never_votes_under_its_old_name() {
     let mut world = World::new(3);
     world.pass(2_000);
-    let leader = world.leader().expect("a leader");
-    let lost = if leader == 1 { 2 } else { 1 };
+    let (leader, lost) = leader_and_other(&world);
     world.propose(leader, 7);
     world.pass(500);
     world.crash(lost, 0);
@@ -734,8 +739,7 @@
 fn a_member_hundreds_of_changes_behind_catches_up_by_snapshot() {
     let mut world = World::new(3);
     world.pass(2_000);
-    let leader = world.leader().expect("a leader");
-    let behind = if leader == 1 { 2 } else { 1 };
+    let (leader, behind) = leader_and_other(&world);
     world.crash(behind, 0);
     for change in 0..400 {
         world.propose(leader, change % 90);
@@ -781,8 +785,7 @@
 fn a_member_that_restarts_amid_a_snapshot_still_gets_it() {
     let mut world = World::new(3);
     world.pass(2_000);
-    let leader = world.leader().expect("a leader");
-    let behind = if leader == 1 { 2 } else { 1 };
+    let (leader, behind) = leader_and_other(&world);
     world.crash(behind, 0);
     for change in 0..60 {
         world.propose(leader, change % 90);
--- a/tests/tests/system.rs
+++ b/tests/tests/system.rs
@@ -509,3 +509,45 @@
     check_honest("after the thaw", &after.expect("an answer"), 1);
     assert_eq!(cluster.target.runs(&body.to_string()), 1);
 }
+
+#[test]
+fn a_target_that_leaves_gets_nothing_new() {
+    struct Case {
+        name: &'static str,
+        /// What it announces: ready, leaving, and whether it announces at all.
+        news: (bool, bool, bool),
+    }
+    let cases = [
+        Case {
+            name: "leaving",
+            news: (true, true, true),
+        },
+        Case {
+            name: "not-ready",
+            news: (false, false, true),
+        },
+        Case {
+            name: "silent",
+            news: (true, false, false),
+        },
+    ];
+    let cluster = Cluster::start();
+    let entry = cluster.entries[0].1;
+    let ready = || {
+        let targets = cluster.console().get("/v1/targets").unwrap_or_default();
+        targets[0]["ready"] == true
+    };
+    for case in cases {
+        let (is_ready, leaving, announces) = case.news;
+        cluster.target.set_news(is_ready, leaving, announces);
+        eventually(case.name, || !ready());
+        let body = json!({ "case": case.name });
+        let told = cluster::submit(entry, case.name, &body, true, 1).expect("an answer");
+        assert_eq!(told.status, 202, "{}: {told:?}", case.name);
+        assert_eq!(cluster.target.runs(&body.to_string()), 0, "{}", case.name);
+        cluster.target.set_news(true, false, true);
+        eventually("it is back", ready);
+        let told = cluster::submit(entry, case.name, &body, true, 19).expect("an answer");
+        assert_eq!(told.status, 200, "{}: {told:?}", case.name);
+    }
+}
