--- a/src/control.rs
+++ b/src/control.rs
@@ -3,7 +3,9 @@
 pub mod admin;
 pub mod daemon;
 pub mod disk;
+pub mod flow;
 pub mod group;
+pub mod join;
 pub mod leader;
 pub mod member;
 pub mod watch;
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use crossbeam::channel;
@@ -63,11 +64,47 @@
 pub struct Daemon {
     pub addr: SocketAddr,
     pub http: SocketAddr,
+    group: group::Group,
+    state: Arc<State>,
     gate: Arc<serve::Gate>,
     stop: channel::Sender<()>,
     stopped: channel::Receiver<error::Result<()>>,
 }
 
+/// What others may know of a running member.
+#[derive(Debug, Default)]
+pub struct State {
+    in_touch: AtomicBool,
+    written: AtomicBool,
+}
+
+impl State {
+    /// Whether the member leads, or has heard from a leader within its lease.
+    pub fn is_in_touch(&self) -> bool {
+        self.in_touch.load(Ordering::SeqCst)
+    }
+
+    /// Whether nothing was ever written to its log.
+    pub fn is_blank(&self) -> bool {
+        !self.written.load(Ordering::SeqCst)
+    }
+
+    fn note(&self, member: &member::Member) {
+        self.in_touch
+            .store(member.node().is_fresh(), Ordering::SeqCst);
+        self.written
+            .store(!member.node().log().is_blank(), Ordering::SeqCst);
+    }
+}
+
+/// Reads whose data folder it is; nothing for one that was never prepared.
+///
+/// # Errors
+/// `Storage` when the folder cannot be read.
+pub fn identity(data: &std::path::Path) -> error::Result<Option<Id>> {
+    store::identity(&mut folder::Folder::open(data)?)
+}
+
 /// Prepares a data folder: with the first members of a group, or blank for one that joins.
 ///
 /// # Errors
@@ -78,6 +115,14 @@
     store::init(&mut folder, id, first)
 }
 
+/// Empties a data folder whose member is not to come back under its identity.
+///
+/// # Errors
+/// `Storage` when the disk fails.
+pub fn wipe(data: &std::path::Path) -> error::Result<()> {
+    store::wipe(&mut folder::Folder::open(data)?)
+}
+
 /// Starts a member.
 ///
 /// # Errors
@@ -112,15 +157,19 @@
         disk,
     )?;
     let gate: Arc<serve::Gate> = Arc::default();
+    let group = group::Group::new(transport, vec![addr]);
     let handler = Arc::new(Admin {
-        group: group::Group::new(transport, vec![addr]),
+        group: group.clone(),
         token: options.operator_token.clone(),
     });
     let http = serve::start(options.http, HTTP_THREADS, Arc::clone(&gate), handler)?;
     let (stop, stopping) = channel::bounded(1);
     let (ended, stopped) = channel::bounded(1);
+    let state: Arc<State> = Arc::default();
+    state.note(&member);
+    let shared = Arc::clone(&state);
     uplink::spawn("control", move || {
-        let result = run(member, &calls, &done, &stopping);
+        let result = run(member, &calls, &done, &stopping, &shared);
         if let Err(err) = &result {
             log::error!("the member stops: {err}");
         }
@@ -130,6 +179,8 @@
     Ok(Daemon {
         addr,
         http,
+        group,
+        state,
         gate,
         stop,
         stopped,
@@ -149,6 +200,16 @@
         self.stopped.recv().unwrap_or(Ok(()))
     }
 
+    /// Calls to the group that the member belongs to.
+    pub fn group(&self) -> &group::Group {
+        &self.group
+    }
+
+    /// What others may know of the member.
+    pub fn state(&self) -> Arc<State> {
+        Arc::clone(&self.state)
+    }
+
     /// Tells whether the member has stopped by itself, and why.
     pub fn failure(&self) -> Option<error::Error> {
         self.stopped.try_recv().ok()?.err()
@@ -160,6 +221,7 @@
     calls: &channel::Receiver<call::Call>,
     done: &channel::Receiver<disk::Done>,
     stopping: &channel::Receiver<()>,
+    state: &State,
 ) -> error::Result<()> {
     let ticker = channel::tick(TICK);
     loop {
@@ -172,7 +234,10 @@
                 Ok(outcome) => member.disk_done(outcome)?,
                 Err(_closed) => return Err(disk_gone()),
             },
-            recv(ticker) -> _ => member.tick(),
+            recv(ticker) -> _ => {
+                member.tick();
+                state.note(&member);
+            }
             recv(stopping) -> _ => return leave(member, calls, done),
         }
     }
--- /dev/null
+++ b/src/control/flow.rs
@@ -0,0 +1,251 @@
+//! The leader's duty towards jobs of several steps: calls in, decisions out, polls held open.
+
+use std::net::SocketAddr;
+
+use crate::clock;
+use crate::flow::book::Book;
+use crate::flow::message::{Call, Orders, Poll, Reply, Request, Start};
+use crate::flow::planner::{self, Planner};
+use crate::flow::{Command, Run, WorkerKey};
+use crate::raft::Index;
+use crate::wire::call;
+use crate::wire::frame::Frame;
+
+/// Longest time that a poll is held.
+const MAX_POLL_MS: u64 = 2_000;
+
+/// An agent that waits for orders.
+#[derive(Debug)]
+struct Poller {
+    poll: Poll,
+    until_ms: u64,
+    reply: call::Reply,
+}
+
+/// A caller that waits until the log has what was decided.
+#[derive(Debug)]
+struct Waiter {
+    index: Index,
+    reply: call::Reply,
+    answer: Reply,
+}
+
+/// The duty, while this member leads.
+#[derive(Debug)]
+pub struct Duty {
+    planner: Planner,
+    token: u64,
+    pollers: Vec<Poller>,
+    waiters: Vec<Waiter>,
+    /// Those whose commands have not been proposed yet.
+    fresh: Vec<(call::Reply, Reply)>,
+    members: Vec<SocketAddr>,
+}
+
+impl Duty {
+    /// Takes over; the token must rise with each leadership.
+    pub fn new(book: &Book, token: u64) -> Self {
+        Self {
+            planner: Planner::new(book, clock::mono_ms(), planner::Options::default()),
+            token,
+            pollers: Vec::new(),
+            waiters: Vec::new(),
+            fresh: Vec::new(),
+            members: Vec::new(),
+        }
+    }
+
+    /// Takes the present addresses of the control members, to be told to agents and entries.
+    pub fn set_members(&mut self, members: Vec<SocketAddr>) {
+        self.members = members;
+    }
+
+    /// The decisions' state, to be read.
+    pub fn planner(&self) -> &Planner {
+        &self.planner
+    }
+
+    /// Takes a call.
+    pub fn call(&mut self, book: &Book, index: Index, call: Call, reply: call::Reply) {
+        match call {
+            Call::Request(request) => self.request(book, request, reply),
+            Call::Declare(catalog) => {
+                let version = catalog.version;
+                self.planner.declare(catalog);
+                self.fresh
+                    .push((reply, Reply::Catalog(version, bytes::Bytes::new())));
+            }
+            Call::ReadCatalog => {
+                let catalog = book.catalog();
+                let answer = Reply::Catalog(catalog.version, catalog.document.clone());
+                reply.send(Frame::FlowReply(answer));
+            }
+            Call::Poll(poll) => {
+                let until_ms = clock::mono_ms() + poll.wait_ms.min(MAX_POLL_MS);
+                self.pollers.push(Poller {
+                    poll,
+                    until_ms,
+                    reply,
+                });
+                self.serve(book, index);
+            }
+            Call::Report(report) => {
+                self.planner.report(clock::mono_ms(), *report);
+                reply.send(Frame::Ok);
+            }
+            Call::Members | Call::Join { .. } => {
+                reply.send(Frame::FlowReply(Reply::Members(self.members.clone())));
+            }
+        }
+    }
+
+    fn request(&mut self, book: &Book, request: Request, reply: call::Reply) {
+        let Request {
+            host,
+            path,
+            key,
+            act,
+        } = request;
+        let (answer, waits) = self
+            .planner
+            .request(book, &host, &path, key.as_deref(), act);
+        let answer = Reply::Answer(answer);
+        if waits {
+            self.fresh.push((reply, answer));
+        } else {
+            reply.send(Frame::FlowReply(answer));
+        }
+    }
+
+    /// Decides; returns the commands for the log.
+    pub fn decide(&mut self) -> Vec<Command> {
+        self.planner.decide(clock::mono_ms(), clock::wall_ms())
+    }
+
+    /// Notes the index at which the log will hold all that was decided so far.
+    pub fn proposed(&mut self, index: Index) {
+        for (reply, answer) in std::mem::take(&mut self.fresh) {
+            self.waiters.push(Waiter {
+                index,
+                reply,
+                answer,
+            });
+        }
+    }
+
+    /// Whether callers wait for something that has not been proposed.
+    pub fn is_pressed(&self) -> bool {
+        !self.fresh.is_empty()
+    }
+
+    /// Answers those who waited for the log, and agents that have new orders.
+    pub fn applied(&mut self, book: &Book, index: Index) {
+        let all = std::mem::take(&mut self.waiters);
+        let (done, open): (Vec<Waiter>, Vec<Waiter>) =
+            all.into_iter().partition(|waiter| waiter.index <= index);
+        self.waiters = open;
+        for waiter in done {
+            waiter.reply.send(Frame::FlowReply(waiter.answer));
+        }
+        self.serve(book, index);
+    }
+
+    /// Answers polls that have something new, or whose time is up.
+    pub fn serve(&mut self, book: &Book, index: Index) {
+        let now = clock::mono_ms();
+        for poller in std::mem::take(&mut self.pollers) {
+            if poller.reply.is_closed() {
+                continue;
+            }
+            let key = self.worker_of(book, &poller.poll);
+            let worker = key.and_then(|key| book.worker(key));
+            let changed = worker.is_some_and(|worker| worker.changed > poller.poll.seen);
+            let asks_first = poller.poll.seen == 0 && worker.is_some();
+            if !changed && !asks_first && now < poller.until_ms {
+                self.pollers.push(poller);
+                continue;
+            }
+            let orders = self.orders(book, index, key, &poller.poll);
+            if let Some(key) = key {
+                self.planner.granted(now, key);
+            }
+            poller
+                .reply
+                .send(Frame::FlowReply(Reply::Orders(Box::new(orders))));
+        }
+    }
+
+    fn worker_of(&self, book: &Book, poll: &Poll) -> Option<WorkerKey> {
+        match &poll.worker {
+            Some((name, born)) => book.find_worker(name, *born),
+            None => {
+                let mut workers = book.workers();
+                let mine = workers.find(|(_key, worker)| worker.info.instance == poll.instance);
+                mine.map(|(key, _worker)| key)
+            }
+        }
+    }
+
+    fn orders(&self, book: &Book, index: Index, key: Option<WorkerKey>, poll: &Poll) -> Orders {
+        let mut orders = Orders {
+            token: self.token,
+            index,
+            members: self.members.clone(),
+            ..Orders::default()
+        };
+        let Some((key, worker)) = key.and_then(|key| Some((key, book.worker(key)?))) else {
+            return orders;
+        };
+        orders.worker = Some((key, worker.info.clone()));
+        orders.cursor = worker.cursor;
+        for (task, number) in &worker.runs {
+            let run = Run {
+                task: *task,
+                number: *number,
+            };
+            if !book.is_wanted(key, run) {
+                orders.stops.push(run);
+                continue;
+            }
+            orders.wanted.push(run);
+            if !poll.known.contains(&run)
+                && let Some(start) = start(book, run)
+            {
+                orders.starts.push(start);
+            }
+        }
+        orders
+    }
+
+    /// Tells everyone who waits that this member no longer leads.
+    pub fn resign(self) {
+        let waiters = self.waiters.into_iter().map(|waiter| waiter.reply);
+        let fresh = self.fresh.into_iter().map(|(reply, _answer)| reply);
+        for reply in waiters.chain(fresh) {
+            reply.fail(lost());
+        }
+        for poller in self.pollers {
+            poller.reply.send(Frame::Redirect { leader: None });
+        }
+    }
+}
+
+/// What those are told whose commands may or may not come into the log.
+fn lost() -> crate::error::Error {
+    crate::error::Error::new(
+        crate::error::Kind::NotLeader,
+        "leadership was lost before the decision was durable",
+    )
+    .with_ran(crate::error::Ran::Unknown)
+}
+
+fn start(book: &Book, run: Run) -> Option<Start> {
+    let id = book.unit_of(run.task)?;
+    let payload = book.job(run.task.job)?.form.payload.clone();
+    let checkpoint = book.unit(id)?.checkpoint.clone();
+    Some(Start {
+        run,
+        payload,
+        checkpoint,
+    })
+}
--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -29,12 +29,13 @@
 #[derive(Clone, Debug)]
 pub struct Group {
     transport: transport::Transport,
-    members: Arc<Vec<SocketAddr>>,
     shared: Arc<Mutex<Shared>>,
 }
 
 #[derive(Debug)]
 struct Shared {
+    /// Members to ask; never empty.
+    members: Vec<SocketAddr>,
     leader: Option<SocketAddr>,
     budget: limit::Budget,
 }
@@ -44,19 +45,33 @@
     pub fn new(transport: transport::Transport, members: Vec<SocketAddr>) -> Self {
         let budget = limit::Budget::new(RETRY_PERCENT, RETRY_RESERVE);
         let shared = Arc::new(Mutex::new(Shared {
+            members,
             leader: None,
             budget,
         }));
-        Self {
-            transport,
-            members: Arc::new(members),
-            shared,
-        }
+        Self { transport, shared }
     }
 
     /// Addresses of the members.
-    pub fn members(&self) -> &[SocketAddr] {
-        &self.members
+    pub fn members(&self) -> Vec<SocketAddr> {
+        self.shared().members.clone()
+    }
+
+    /// Takes addresses that members are known at; none change nothing.
+    pub fn learn(&self, members: &[SocketAddr]) {
+        if !members.is_empty() {
+            self.shared().members = members.to_vec();
+        }
+    }
+
+    /// Takes further addresses that members may be known at.
+    pub fn add(&self, members: &[SocketAddr]) {
+        let mut shared = self.shared();
+        for addr in members {
+            if !shared.members.contains(addr) {
+                shared.members.push(*addr);
+            }
+        }
     }
 
     /// The transport underneath.
@@ -67,12 +82,14 @@
     /// Calls the leader; `wait` is how long the call itself may take, `limit` bounds all tries.
     ///
     /// # Errors
-    /// The leader's own error, or `NoQuorum` with `ran: unknown` when no leader answered in time.
+    /// The leader's own error, or `NoQuorum` when no leader answered in time; `ran: no` when none can
+    /// have taken the call.
     pub fn call(&self, frame: &Frame, wait: Duration, limit: Duration) -> wire::Result<Frame> {
         let start = Instant::now();
         let timeout = wait + Duration::from_millis(CALL_MS);
         let mut tries: u32 = 0;
         let mut last = String::from("no member was reached");
+        let mut ran = error::Ran::No;
         while tries == 0 || start.elapsed() < limit {
             let addr = self.choose(tries);
             tries += 1;
@@ -87,6 +104,9 @@
                     }
                 }
                 Err(err) if is_transient(&err) => {
+                    if err.ran != error::Ran::No {
+                        ran = error::Ran::Unknown;
+                    }
                     self.shared().leader = None;
                     last = err.detail;
                 }
@@ -104,7 +124,7 @@
             thread::sleep(Duration::from_millis(pause).min(limit.saturating_sub(start.elapsed())));
         }
         let detail = format!("no control leader answered in time: {last}");
-        Err(error::Error::new(error::Kind::NoQuorum, detail))
+        Err(error::Error::new(error::Kind::NoQuorum, detail).with_ran(ran))
     }
 
     /// Calls any member, the given one first.
@@ -112,14 +132,16 @@
     /// # Errors
     /// The error of the last member tried.
     pub fn call_any(&self, first: usize, frame: &Frame, wait: Duration) -> wire::Result<Frame> {
-        let addr = self.members[first % self.members.len()];
+        let members = self.members();
+        let addr = members[first % members.len()];
         self.transport
             .call(addr, frame.clone(), wait + Duration::from_millis(CALL_MS))
     }
 
     fn choose(&self, tries: u32) -> SocketAddr {
-        let known = self.shared().leader;
-        known.unwrap_or_else(|| self.members[tries as usize % self.members.len()])
+        let shared = self.shared();
+        let next = || shared.members[tries as usize % shared.members.len()];
+        shared.leader.unwrap_or_else(next)
     }
 
     fn shared(&self) -> std::sync::MutexGuard<'_, Shared> {
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -9,12 +9,15 @@
 use crate::clock;
 use crate::control::admin;
 use crate::control::disk;
+use crate::control::flow;
+use crate::control::join;
 use crate::control::leader;
 use crate::control::watch;
 use crate::error;
+use crate::flow::message;
 use crate::ledger;
 use crate::ledger::command;
-use crate::raft::message;
+use crate::raft::message as raft_message;
 use crate::raft::node;
 use crate::raft::{Id, Index};
 use crate::sched::{JobId, Millis};
@@ -60,6 +63,9 @@
     node: node::Node,
     ledger: ledger::Ledger,
     leader: Option<leader::Leader>,
+    /// The leader's duty towards jobs of several steps.
+    duty: Option<flow::Duty>,
+    joins: join::Joins,
     transport: transport::Transport,
     disk: channel::Sender<disk::Job>,
     snapshot: Option<store::Snapshot>,
@@ -102,6 +108,8 @@
             node: node::Node::new(start, node::Timing::default(), clock::mono_ms()),
             ledger,
             leader: None,
+            duty: None,
+            joins: join::Joins::default(),
             transport,
             disk,
             snapshot: recovered.snapshot,
@@ -151,6 +159,10 @@
             leader.tick(&self.ledger, clock::wall_ms());
         }
         self.decide();
+        self.reconcile();
+        if let Some(duty) = &mut self.duty {
+            duty.serve(self.ledger.flow(), self.ledger.applied());
+        }
         self.expire_awaiters();
         self.serve_watchers();
         self.maybe_snapshot();
@@ -246,6 +258,14 @@
                 reply.send(admin::decisions(self, Some(&account), job));
             }
             Frame::Query(query) => reply.send(admin::answer(self, &query)),
+            Frame::Flow(message::Call::Join { id, addr, blank }) => {
+                self.join(id, addr, blank, reply);
+            }
+            Frame::Flow(call) => {
+                if let Some(duty) = &mut self.duty {
+                    duty.call(self.ledger.flow(), self.ledger.applied(), call, reply);
+                }
+            }
             Frame::Change(change) => match self.node.change(clock::mono_ms(), &change) {
                 Ok((index, effects)) => {
                     self.changers.push((index, reply));
@@ -295,8 +315,12 @@
             return;
         };
         let at_ms = clock::wall_ms();
-        let commands = leader.decide(&self.ledger, at_ms);
+        let mut commands = leader.decide(&self.ledger, at_ms);
+        if let Some(duty) = &mut self.duty {
+            commands.extend(duty.decide().into_iter().map(command::Command::Flow));
+        }
         if commands.is_empty() {
+            self.answer_pressed();
             return;
         }
         let batch = command::Batch { at_ms, commands };
@@ -304,7 +328,12 @@
             .encode()
             .and_then(|data| self.node.propose(clock::mono_ms(), data));
         match proposed {
-            Ok((_index, effects)) => self.process(effects),
+            Ok((index, effects)) => {
+                if let Some(duty) = &mut self.duty {
+                    duty.proposed(index);
+                }
+                self.process(effects);
+            }
             // What was decided is lost with the leadership; callers are told so.
             Err(err) => {
                 log::info!("decision not logged: {err}");
@@ -324,6 +353,60 @@
             log::info!(term = self.node.term(); "leads");
             let now = clock::wall_ms();
             self.leader = Some(leader::Leader::new(&self.ledger, now, self.options.leader));
+            let mut duty = flow::Duty::new(self.ledger.flow(), self.node.term());
+            duty.set_members(self.addresses());
+            self.duty = Some(duty);
+        }
+    }
+
+    /// Addresses of the control members.
+    fn addresses(&self) -> Vec<SocketAddr> {
+        let members = self.node.members();
+        let all = members.voters.values().chain(members.learners.values());
+        all.copied().collect()
+    }
+
+    /// Answers callers whose words need nothing new in the log once it holds what it has now.
+    fn answer_pressed(&mut self) {
+        let last = self.node.last_index();
+        if let Some(duty) = self.duty.as_mut().filter(|duty| duty.is_pressed()) {
+            duty.proposed(last);
+            duty.applied(self.ledger.flow(), self.ledger.applied());
+        }
+    }
+
+    /// Takes a member's wish for a place in the group.
+    fn join(&mut self, id: Id, addr: SocketAddr, blank: bool, reply: call::Reply) {
+        let members = self.node.members();
+        if members.addr(id).is_none() && (!blank || id <= members.last_id) {
+            reply.fail(error::Error::new(
+                error::Kind::InvalidMember,
+                format!("member {id} has been removed; it must come back under a new identity"),
+            ));
+            return;
+        }
+        if members.addr(id).is_none() {
+            self.joins.ask(clock::mono_ms(), id, addr);
+        }
+        reply.send(Frame::FlowReply(message::Reply::Members(self.addresses())));
+    }
+
+    /// Brings the membership one change closer to those who are there.
+    fn reconcile(&mut self) {
+        if self.leader.is_none() {
+            return;
+        }
+        let Some(change) = self.joins.next(clock::mono_ms(), &self.node) else {
+            return;
+        };
+        log::info!("membership: {change:?}");
+        match self.node.change(clock::mono_ms(), &change) {
+            Ok((_index, effects)) => self.process(effects),
+            Err(err) => log::debug!("membership not changed yet: {err}"),
+        }
+        let addresses = self.addresses();
+        if let Some(duty) = &mut self.duty {
+            duty.set_members(addresses);
         }
     }
 
@@ -332,6 +415,9 @@
             log::info!(term = self.node.term(); "leads no longer");
             leader.resign();
         }
+        if let Some(duty) = self.duty.take() {
+            duty.resign();
+        }
         for awaiter in std::mem::take(&mut self.awaiters).into_values().flatten() {
             awaiter.reply.send(Frame::Redirect { leader: None });
         }
@@ -364,7 +450,7 @@
         }
     }
 
-    fn write(&mut self, writes: Vec<node::Write>, after: Vec<message::Message>) {
+    fn write(&mut self, writes: Vec<node::Write>, after: Vec<raft_message::Message>) {
         if writes.is_empty() {
             // Nothing of this depends on a write, but order with earlier ones must be kept.
             self.push(disk::Job::Write {
@@ -408,7 +494,7 @@
         }
     }
 
-    fn send(&self, messages: Vec<message::Message>) {
+    fn send(&self, messages: Vec<raft_message::Message>) {
         for message in messages {
             let Some(addr) = self.addr_of(message.to) else {
                 continue;
@@ -428,15 +514,15 @@
             .or_else(|| self.peers.get(&id).copied())
     }
 
-    fn apply(&mut self, entry: message::Entry) {
+    fn apply(&mut self, entry: raft_message::Entry) {
         let index = entry.index;
         match entry.payload {
-            message::Payload::Noop => self.ledger.skip(index),
-            message::Payload::Members(_) => {
+            raft_message::Payload::Noop => self.ledger.skip(index),
+            raft_message::Payload::Members(_) => {
                 self.ledger.skip(index);
                 self.answer_changers(index);
             }
-            message::Payload::Command(data) => self.apply_commands(index, &data),
+            raft_message::Payload::Command(data) => self.apply_commands(index, &data),
         }
     }
 
@@ -455,6 +541,9 @@
         if let Some(leader) = &mut self.leader {
             leader.applied(&self.ledger, &touched);
         }
+        if let Some(duty) = &mut self.duty {
+            duty.applied(self.ledger.flow(), index);
+        }
         for job in &touched.jobs {
             self.serve_awaiters(*job);
         }
--- /dev/null
+++ b/src/flow/agent.rs
@@ -0,0 +1,558 @@
+//! What an agent does with the worker beside it: starts and stops runs as the leader orders,
+//! extends the lease while the leader has been heard of, reports what runs and what has ended.
+//!
+//! The agent is the only caller of its worker and keeps nothing durable: after a restart it learns
+//! what runs from the worker's own lists.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+
+use crate::flow::book::Info;
+use crate::flow::message::{Active, Ended, Orders, Poll, Report};
+use crate::flow::planner;
+use crate::flow::{Millis, Run, WorkerKey};
+use crate::raft::Index;
+
+/// Pause before an order without a usable answer is sent again.
+const RETRY_MS: Millis = 250;
+
+/// Longest wait of a poll for orders.
+pub const POLL_MS: Millis = 1_000;
+
+/// Longest wait of a worker's list for an end.
+pub const LIST_MS: Millis = 1_000;
+
+/// Time after which an unanswered list counts as silence.
+const SILENT_MS: Millis = 2_500;
+
+/// Time without a list in which the worker's answer is still believed to be on its way.
+const LEASE_DRIFT_PERCENT: Millis = 3;
+
+/// Time from a worker's farewell to its end.
+const FAREWELL_MS: Millis = 1_500;
+
+/// Tries of a start after which the worker is given up as the place for it.
+const MAX_TRIES: u32 = 12;
+
+/// What the agent must do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Start(Box<Start>),
+    Stop(Stop),
+}
+
+/// An order to the worker to start a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Start {
+    pub worker: String,
+    pub run: Run,
+    pub payload: Bytes,
+    pub checkpoint: String,
+    /// On the worker's clock.
+    pub expires_ms: Millis,
+    pub token: u64,
+}
+
+/// An order to the worker to stop a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stop {
+    pub worker: String,
+    pub run: Run,
+    pub token: u64,
+}
+
+/// A call for the worker's lists, which may also extend its lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct List {
+    pub worker: String,
+    pub token: u64,
+    pub cursor: u64,
+    /// On the worker's clock; nothing while the leader has not been heard of.
+    pub expires_ms: Option<Millis>,
+    pub wait_ms: Millis,
+}
+
+/// A worker's lists.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Lists {
+    pub born: u64,
+    /// The worker's clock when it answered.
+    pub clock_ms: Millis,
+    pub active: Vec<Active>,
+    pub ended: Vec<Ended>,
+}
+
+/// How an order to start was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    Yes,
+    /// A later token was seen there.
+    Fenced,
+    /// The run, or a later one, was stopped or has ended there.
+    Old,
+    /// The order came after its time.
+    Late,
+    /// It does not fit.
+    NoRoom,
+    /// The worker cannot read it.
+    Refused,
+    /// Nothing was done; later perhaps.
+    Busy,
+    /// Another incarnation has answered.
+    OtherWorker,
+    /// Nobody can tell whether it was or will be carried out.
+    Unknown,
+}
+
+/// What the worker says about itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Announcement {
+    pub info: Info,
+    pub leaving: bool,
+    pub remaining_ms: Millis,
+    pub clock_ms: Option<Millis>,
+    pub sequence: u64,
+}
+
+/// A run that is to be here.
+#[derive(Clone, Debug)]
+struct Order {
+    payload: Bytes,
+    checkpoint: String,
+    in_flight: bool,
+    taken: bool,
+    tries: u32,
+    next_ms: Millis,
+}
+
+/// A run that is not to be here.
+#[derive(Clone, Copy, Debug, Default)]
+struct Removal {
+    in_flight: bool,
+    /// When the worker confirmed the stop.
+    confirmed_ms: Option<Millis>,
+    next_ms: Millis,
+}
+
+/// State of an agent.
+#[derive(Debug)]
+pub struct Core {
+    options: planner::Options,
+    instance: String,
+    worker: Option<Announcement>,
+    /// Incarnation that the leader knows, until the worker has announced itself.
+    expected: Option<Info>,
+    key: Option<WorkerKey>,
+    token: u64,
+    /// When the last poll that was answered had been sent.
+    granted_ms: Millis,
+    index: Index,
+    cursor: u64,
+    /// The worker's clock, and the own one when it was read.
+    clock: Option<(Millis, Millis)>,
+    /// When all leases are over for certain.
+    lease_end_ms: Millis,
+    lists: Option<Lists>,
+    /// When the call was sent that gave the lists.
+    listed_ms: Millis,
+    answered_ms: Millis,
+    orders: BTreeMap<Run, Order>,
+    removals: BTreeMap<Run, Removal>,
+    absent: BTreeSet<Run>,
+    /// When the worker said farewell.
+    left_ms: Option<Millis>,
+    news: bool,
+}
+
+impl Core {
+    /// Makes an agent that knows nothing yet.
+    pub fn new(instance: String, options: planner::Options) -> Self {
+        Self {
+            options,
+            instance,
+            worker: None,
+            expected: None,
+            key: None,
+            token: 0,
+            granted_ms: 0,
+            index: 0,
+            cursor: 0,
+            clock: None,
+            lease_end_ms: 0,
+            lists: None,
+            listed_ms: 0,
+            answered_ms: 0,
+            orders: BTreeMap::new(),
+            removals: BTreeMap::new(),
+            absent: BTreeSet::new(),
+            left_ms: None,
+            news: false,
+        }
+    }
+
+    /// Takes what the worker says of itself. Words of an earlier incarnation, or that were
+    /// overtaken, change nothing.
+    pub fn announce(&mut self, now: Millis, announcement: Announcement) {
+        if let Some(worker) = &self.worker {
+            let same = worker.info.name == announcement.info.name
+                && worker.info.born == announcement.info.born;
+            if same && announcement.sequence <= worker.sequence {
+                return;
+            }
+            if !same && announcement.info.born < worker.info.born && self.is_answering(now) {
+                log::info!(worker = announcement.info.name; "an earlier incarnation's word came late");
+                return;
+            }
+            if !same {
+                self.forget();
+            }
+        }
+        if let Some(clock_ms) = announcement.clock_ms {
+            self.read_clock(now, clock_ms);
+        }
+        self.news |= self.worker.as_ref().is_none_or(|worker| {
+            worker.leaving != announcement.leaving || worker.info != announcement.info
+        });
+        self.worker = Some(announcement);
+    }
+
+    /// Starts over with a new incarnation.
+    fn forget(&mut self) {
+        self.key = None;
+        self.clock = None;
+        self.lists = None;
+        self.lease_end_ms = 0;
+        self.cursor = 0;
+        self.index = 0;
+        self.expected = None;
+        self.left_ms = None;
+        self.orders.clear();
+        self.removals.clear();
+        self.absent.clear();
+    }
+
+    fn is_answering(&self, now: Millis) -> bool {
+        now < self.answered_ms + SILENT_MS
+    }
+
+    /// Whether the leader has been heard of lately enough to extend leases and start work.
+    fn is_granted(&self, now: Millis) -> bool {
+        self.granted_ms > 0 && now < self.granted_ms + self.options.grant_ms
+    }
+
+    fn read_clock(&mut self, now: Millis, clock_ms: Millis) {
+        let passed = |(at, read): (Millis, Millis)| at + now.saturating_sub(read);
+        if self.clock.is_none_or(|clock| clock_ms > passed(clock))
+            || self.clock.is_some_and(|clock| now > clock.1 + 1_000)
+        {
+            self.clock = Some((clock_ms, now));
+        }
+    }
+
+    /// End of a lease that begins now, on the worker's clock.
+    fn expires_ms(&self, now: Millis) -> Option<Millis> {
+        let (clock_ms, read_ms) = self.clock?;
+        self.is_granted(now)
+            .then(|| clock_ms + now.saturating_sub(read_ms) + self.options.lease_ms)
+    }
+
+    fn lease_sent(&mut self, now: Millis) {
+        let lease_ms = self.options.lease_ms;
+        let end_ms = now + lease_ms + lease_ms * LEASE_DRIFT_PERCENT / 100;
+        self.lease_end_ms = self.lease_end_ms.max(end_ms);
+    }
+
+    /// The incarnation in use, by name and start.
+    fn incarnation(&self) -> Option<(String, u64)> {
+        let info = self.worker.as_ref().map(|worker| &worker.info);
+        let info = info.or(self.expected.as_ref())?;
+        Some((info.name.clone(), info.born))
+    }
+
+    /// The next poll for orders.
+    pub fn poll(&self) -> Poll {
+        let known = self.orders.keys().copied();
+        let listed = self.lists.iter().flat_map(|lists| &lists.active);
+        Poll {
+            instance: self.instance.clone(),
+            worker: self.incarnation(),
+            seen: self.index,
+            wait_ms: POLL_MS,
+            known: known.chain(listed.map(|active| active.run)).collect(),
+        }
+    }
+
+    /// Takes the answer to a poll that was sent at a time; returns what is to be done.
+    pub fn ordered(&mut self, now: Millis, sent_ms: Millis, orders: Orders) -> Vec<Effect> {
+        if orders.token < self.token {
+            return Vec::new();
+        }
+        self.token = orders.token;
+        self.granted_ms = self.granted_ms.max(sent_ms);
+        let Some((key, info)) = orders.worker else {
+            return Vec::new();
+        };
+        match &self.worker {
+            None => self.expected = Some(info),
+            Some(worker) if worker.info.name != info.name || worker.info.born != info.born => {
+                return Vec::new();
+            }
+            Some(_worker) => {}
+        }
+        self.key = Some(key);
+        self.index = orders.index;
+        self.cursor = self.cursor.max(orders.cursor);
+        let mut payloads: BTreeMap<Run, (Bytes, String)> = orders
+            .starts
+            .into_iter()
+            .map(|start| (start.run, (start.payload, start.checkpoint)))
+            .collect();
+        let wanted: BTreeSet<Run> = orders.wanted.into_iter().collect();
+        for run in &wanted {
+            if let Some((payload, checkpoint)) = payloads.remove(run) {
+                self.orders.entry(*run).or_insert(Order {
+                    payload,
+                    checkpoint,
+                    in_flight: false,
+                    taken: false,
+                    tries: 0,
+                    next_ms: 0,
+                });
+            }
+        }
+        self.orders.retain(|run, _order| wanted.contains(run));
+        let listed = self.lists.iter().flat_map(|lists| &lists.active);
+        let unwanted = listed
+            .map(|active| active.run)
+            .filter(|run| !wanted.contains(run));
+        let stops: BTreeSet<Run> = orders.stops.into_iter().chain(unwanted).collect();
+        for run in &stops {
+            self.removals.entry(*run).or_default();
+        }
+        self.removals.retain(|run, _removal| stops.contains(run));
+        self.absent
+            .retain(|run| stops.contains(run) || wanted.contains(run));
+        self.act(now)
+    }
+
+    /// The next call for the worker's lists.
+    pub fn list(&mut self, now: Millis, wait_ms: Millis) -> Option<List> {
+        let (worker, _born) = self.incarnation()?;
+        if self.token == 0 {
+            return None;
+        }
+        let expires_ms = self.expires_ms(now);
+        if expires_ms.is_some() {
+            self.lease_sent(now);
+        }
+        Some(List {
+            worker,
+            token: self.token,
+            cursor: self.cursor,
+            expires_ms,
+            wait_ms,
+        })
+    }
+
+    /// Takes the lists that a call sent at a time has brought; returns what is to be done.
+    pub fn listed(&mut self, now: Millis, sent_ms: Millis, lists: Lists) -> Vec<Effect> {
+        let born = self.incarnation().map(|(_name, born)| born);
+        if born.is_some_and(|born| born != lists.born) || sent_ms < self.listed_ms {
+            return Vec::new();
+        }
+        self.read_clock(now, lists.clock_ms);
+        let cursor = self.cursor;
+        let fresh = lists.ended.iter().any(|ended| ended.number > cursor);
+        let old = self.lists.as_ref();
+        let runs = |lists: &Lists| -> BTreeSet<Run> {
+            lists.active.iter().map(|active| active.run).collect()
+        };
+        self.news |=
+            fresh || old.is_none_or(|old| runs(old) != runs(&lists)) || !self.is_answering(now);
+        for active in &lists.active {
+            if let Some(order) = self.orders.get_mut(&active.run) {
+                order.taken = true;
+            }
+        }
+        self.conclude(sent_ms, &lists);
+        self.lists = Some(lists);
+        self.listed_ms = sent_ms;
+        self.answered_ms = now;
+        self.act(now)
+    }
+
+    /// Notes runs as absent whose stop was confirmed before the lists were asked for and that are
+    /// on neither list.
+    fn conclude(&mut self, sent_ms: Millis, lists: &Lists) {
+        for (run, removal) in &self.removals {
+            let confirmed = removal.confirmed_ms.is_some_and(|at_ms| at_ms < sent_ms);
+            let active = lists.active.iter().any(|active| active.run == *run);
+            let ended = lists.ended.iter().any(|ended| ended.run == *run);
+            if confirmed && !active && !ended && self.absent.insert(*run) {
+                self.news = true;
+            }
+        }
+    }
+
+    /// Takes the worker's answer to a start; returns what is to be done.
+    pub fn started(&mut self, now: Millis, run: Run, taken: Taken) -> Vec<Effect> {
+        let Some(order) = self.orders.get_mut(&run) else {
+            return self.act(now);
+        };
+        order.in_flight = false;
+        match taken {
+            Taken::Yes => order.taken = true,
+            Taken::Old | Taken::NoRoom | Taken::Refused => {
+                log::info!(job:% = format_args!("{:016x}", run.task.job), run = run.number; "start not taken: {taken:?}");
+                self.removals.entry(run).or_default();
+            }
+            Taken::Fenced | Taken::Late | Taken::Busy | Taken::OtherWorker | Taken::Unknown => {
+                log::info!(job:% = format_args!("{:016x}", run.task.job), run = run.number; "start not confirmed: {taken:?}");
+                order.tries += 1;
+                order.next_ms = now + RETRY_MS;
+                if order.tries >= MAX_TRIES {
+                    self.removals.entry(run).or_default();
+                }
+            }
+        }
+        self.act(now)
+    }
+
+    /// Takes the worker's answer to a stop; returns what is to be done.
+    pub fn stopped(&mut self, now: Millis, run: Run, confirmed: bool) -> Vec<Effect> {
+        if let Some(removal) = self.removals.get_mut(&run) {
+            removal.in_flight = false;
+            if confirmed {
+                removal.confirmed_ms = Some(now);
+            }
+            removal.next_ms = now + RETRY_MS;
+        }
+        self.act(now)
+    }
+
+    /// Whether a list is wanted at once, for a stop that has been confirmed.
+    pub fn wants_list(&self) -> bool {
+        let open = self.removals.iter();
+        open.filter(|(run, _removal)| !self.absent.contains(run))
+            .any(|(_run, removal)| removal.confirmed_ms.is_some())
+    }
+
+    /// Orders whose time has come.
+    pub fn act(&mut self, now: Millis) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let Some((worker, _born)) = self.incarnation() else {
+            return effects;
+        };
+        let Some(lists) = &self.lists else {
+            return effects;
+        };
+        let listed = |run: &Run| {
+            lists.active.iter().any(|active| active.run == *run)
+                || lists.ended.iter().any(|ended| ended.run == *run)
+        };
+        let leaving = self.worker.as_ref().is_some_and(|worker| worker.leaving);
+        let expires_ms = self.expires_ms(now);
+        let mut refused = Vec::new();
+        for (run, order) in &mut self.orders {
+            let gone = self.removals.contains_key(run) || self.absent.contains(run);
+            if order.in_flight || order.taken || gone || listed(run) || now < order.next_ms {
+                continue;
+            }
+            if leaving {
+                refused.push(*run);
+                continue;
+            }
+            let Some(expires_ms) = expires_ms else {
+                continue;
+            };
+            order.in_flight = true;
+            effects.push(Effect::Start(Box::new(Start {
+                worker: worker.clone(),
+                run: *run,
+                payload: order.payload.clone(),
+                checkpoint: order.checkpoint.clone(),
+                expires_ms,
+                token: self.token,
+            })));
+        }
+        for run in refused {
+            self.removals.entry(run).or_default();
+        }
+        for (run, removal) in &mut self.removals {
+            let ended = lists.ended.iter().any(|ended| ended.run == *run);
+            let started = self.orders.get(run).is_some_and(|order| order.in_flight);
+            let done = self.absent.contains(run) || ended || removal.confirmed_ms.is_some();
+            if removal.in_flight || started || done || now < removal.next_ms {
+                continue;
+            }
+            removal.in_flight = true;
+            effects.push(Effect::Stop(Stop {
+                worker: worker.clone(),
+                run: *run,
+                token: self.token,
+            }));
+        }
+        if !effects.is_empty() && expires_ms.is_some() {
+            self.lease_sent(now);
+        }
+        effects
+    }
+
+    /// Whether there is something that the leader should hear at once.
+    pub fn has_news(&self) -> bool {
+        self.news && self.incarnation().is_some()
+    }
+
+    /// Whether nothing of the incarnation can run any more.
+    fn is_over(&self, now: Millis, answers: bool) -> bool {
+        let lapsed = self.lists.is_some() && !answers && now > self.lease_end_ms;
+        let left = self.left_ms.is_some_and(|at_ms| now > at_ms + FAREWELL_MS);
+        lapsed || left
+    }
+
+    /// Notes that a report did not arrive.
+    pub fn report_again(&mut self) {
+        self.news = true;
+    }
+
+    /// Takes the worker's farewell; what is left of it ends within moments.
+    pub fn left(&mut self, now: Millis, name: &str) {
+        if let Some(worker) = self
+            .worker
+            .as_mut()
+            .filter(|worker| worker.info.name == name)
+        {
+            worker.leaving = true;
+            self.left_ms = Some(now);
+            self.news = true;
+        }
+    }
+
+    /// What the leader is to know; nothing before a worker is known.
+    pub fn report(&mut self, now: Millis) -> Option<Report> {
+        let worker = self.worker.clone();
+        let info = worker
+            .as_ref()
+            .map(|worker| worker.info.clone())
+            .or_else(|| self.expected.clone())?;
+        self.news = false;
+        let lists = self.lists.clone().unwrap_or_default();
+        let answers = self.lists.is_some() && self.is_answering(now);
+        Some(Report {
+            instance: self.instance.clone(),
+            info,
+            leaving: worker.as_ref().is_some_and(|worker| worker.leaving),
+            remaining_ms: worker.map_or(0, |worker| worker.remaining_ms),
+            answers,
+            over: self.is_over(now, answers),
+            active: lists.active,
+            ended: lists
+                .ended
+                .into_iter()
+                .filter(|ended| ended.number > self.cursor)
+                .collect(),
+            absent: self.absent.iter().copied().collect(),
+        })
+    }
+}
--- /dev/null
+++ b/src/flow/book/apply.rs
@@ -0,0 +1,347 @@
+//! Applies commands to the replicated state.
+
+use crate::flow::book::{Book, Cause, End, Job, KEPT_BAD, Member, Running, State, Unit, Worker};
+use crate::flow::command::{Accepted, Command};
+use crate::flow::{JobId, Millis, Run, UnitId, WorkerKey};
+use crate::raft::Index;
+
+impl Book {
+    /// Applies a command of the entry at an index; `now` is the leader's clock in that entry.
+    pub fn apply(&mut self, index: Index, now: Millis, command: Command) {
+        match command {
+            Command::Declare(catalog) => {
+                if catalog.version > self.catalog.version {
+                    self.catalog = *catalog;
+                }
+            }
+            Command::Accept(accepted) => self.accept(now, *accepted),
+            Command::Cancel { job } => self.end_job(index, now, job, State::Cancelled),
+            Command::Open { job, occurrence } => self.open(now, job, occurrence),
+            Command::Place { unit, run, workers } => self.place(index, now, unit, run, &workers),
+            Command::Stop { unit, cause } => self.stop(index, unit, cause),
+            Command::Ended {
+                worker,
+                number,
+                run,
+                end,
+                saved,
+            } => {
+                self.advance(index, worker, number);
+                self.ended(index, now, worker, run, end, saved);
+            }
+            Command::Worker { key, info } => {
+                self.next_worker = self.next_worker.max(key.0 + 1);
+                let worker = Worker {
+                    info,
+                    changed: index,
+                    ..Worker::default()
+                };
+                self.workers.insert(key, worker);
+            }
+            Command::Gone { worker, saved } => self.gone(index, now, worker, &saved),
+        }
+    }
+
+    /// Forgets jobs that ended before a time and of which nothing runs any more.
+    pub fn expire(&mut self, before_ms: Millis) {
+        while let Some((ended_ms, id)) = self.ended.front().copied() {
+            let busy = self.jobs.get(&id).is_some_and(Job::is_busy);
+            if ended_ms >= before_ms || busy {
+                return;
+            }
+            self.ended.pop_front();
+            self.jobs.remove(&id);
+        }
+    }
+
+    fn accept(&mut self, now: Millis, accepted: Accepted) {
+        if self.jobs.contains_key(&accepted.id) {
+            return;
+        }
+        let id = accepted.id;
+        let scheduled = accepted.form.schedule.is_some();
+        let job = Job {
+            id,
+            queue: accepted.queue,
+            account: accepted.account,
+            form: accepted.form,
+            accepted_ms: now,
+            state: State::Open,
+            started: false,
+            opened: 0,
+            units: std::collections::BTreeMap::new(),
+        };
+        self.jobs.insert(id, job);
+        if !scheduled {
+            self.open(now, id, 0);
+        }
+    }
+
+    fn open(&mut self, now: Millis, id: JobId, occurrence: u32) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.state != State::Open || occurrence != job.opened {
+            return;
+        }
+        job.opened += 1;
+        for (at, step) in job.form.steps.iter().enumerate() {
+            let (firsts, tasks) = if step.gang {
+                (0..1, step.count)
+            } else {
+                (0..step.count, 1)
+            };
+            for first in firsts {
+                let unit = Unit {
+                    tasks,
+                    ready_ms: now,
+                    ..Unit::default()
+                };
+                job.units.insert((occurrence, at as u32, first), unit);
+            }
+        }
+        self.refresh_ready(now, id, occurrence);
+    }
+
+    /// Adds the units of an occurrence whose turn has come.
+    fn refresh_ready(&mut self, now: Millis, id: JobId, occurrence: u32) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        for at in 0..job.form.steps.len() as u32 {
+            let before = &job.form.steps[at as usize].after;
+            let due = before
+                .iter()
+                .all(|step| job.is_step_done(occurrence, *step));
+            if !due {
+                continue;
+            }
+            let range = (occurrence, at, 0)..=(occurrence, at, u32::MAX);
+            for ((_occurrence, step, first), unit) in job.units.range_mut(range) {
+                if unit.done || unit.running.is_some() {
+                    continue;
+                }
+                let unit_id = UnitId {
+                    job: id,
+                    occurrence,
+                    step: *step,
+                    first: *first,
+                };
+                if self.ready.insert(unit_id) {
+                    unit.ready_ms = now;
+                }
+            }
+        }
+    }
+
+    fn unit_mut(&mut self, id: UnitId) -> Option<&mut Unit> {
+        let job = self.jobs.get_mut(&id.job)?;
+        job.units.get_mut(&(id.occurrence, id.step, id.first))
+    }
+
+    fn place(&mut self, index: Index, now: Millis, id: UnitId, run: u32, workers: &[WorkerKey]) {
+        let Some((job, step)) = self.step(id) else {
+            return;
+        };
+        let each = step.each;
+        let open = job.state == State::Open;
+        let Some(unit) = self.unit_mut(id) else {
+            return;
+        };
+        if !open || unit.done || unit.running.is_some() || run <= unit.run {
+            return;
+        }
+        unit.run = run;
+        let member = |worker: &WorkerKey| Member {
+            worker: *worker,
+            end: None,
+        };
+        unit.running = Some(Running {
+            members: workers.iter().map(member).collect(),
+            placed_ms: now,
+            stop: None,
+        });
+        for (position, key) in workers.iter().enumerate() {
+            if let Some(worker) = self.workers.get_mut(key) {
+                worker.used = worker.used.plus(&each);
+                worker.runs.insert(id.task(position as u32), run);
+                worker.changed = index;
+            }
+        }
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.started = true;
+        }
+        self.ready.remove(&id);
+        self.active.insert(id);
+    }
+
+    fn stop(&mut self, index: Index, id: UnitId, cause: Cause) {
+        let Some(running) = self.unit_mut(id).and_then(|unit| unit.running.as_mut()) else {
+            return;
+        };
+        if running.stop.is_some() {
+            return;
+        }
+        running.stop = Some(cause);
+        let members = running.members.iter();
+        let workers: Vec<WorkerKey> = members.map(|member| member.worker).collect();
+        for key in workers {
+            if let Some(worker) = self.workers.get_mut(&key) {
+                worker.changed = index;
+            }
+        }
+    }
+
+    fn advance(&mut self, index: Index, key: WorkerKey, number: u64) {
+        if let Some(worker) = self.workers.get_mut(&key)
+            && number > worker.cursor
+        {
+            worker.cursor = number;
+            worker.changed = index;
+        }
+    }
+
+    fn ended(
+        &mut self,
+        index: Index,
+        now: Millis,
+        key: WorkerKey,
+        run: Run,
+        end: End,
+        saved: String,
+    ) {
+        let Some(id) = self.unit_of(run.task) else {
+            return;
+        };
+        let step = self.step(id).map(|(_job, step)| step.each);
+        let each = step.unwrap_or_default();
+        let Some(unit) = self.unit_mut(id) else {
+            return;
+        };
+        if unit.run != run.number {
+            return;
+        }
+        let position = (run.task.index - id.first) as usize;
+        let member = unit.running.as_mut();
+        let member = member.and_then(|running| running.members.get_mut(position));
+        let Some(member) = member else {
+            return;
+        };
+        if member.worker != key || member.end.is_some() {
+            return;
+        }
+        member.end = Some(end);
+        if !saved.is_empty() {
+            unit.checkpoint = saved;
+        }
+        if end == End::Failed {
+            unit.bad.push(key);
+            let extra = unit.bad.len().saturating_sub(KEPT_BAD);
+            unit.bad.drain(..extra);
+        }
+        if let Some(worker) = self.workers.get_mut(&key) {
+            worker.used = worker.used.less(&each);
+            worker.runs.remove(&run.task);
+            worker.changed = index;
+        }
+        self.settle(index, now, id);
+    }
+
+    /// Draws the conclusion from the ends of a unit's run.
+    fn settle(&mut self, index: Index, now: Millis, id: UnitId) {
+        let Some((job, step)) = self.step(id) else {
+            return;
+        };
+        let lasting = step.lasting;
+        let (max_attempts, open) = (job.queue.max_attempts.max(1), job.state == State::Open);
+        let Some(unit) = self.unit_mut(id) else {
+            return;
+        };
+        let Some(running) = &unit.running else {
+            return;
+        };
+        // One member's end as done stands for the whole gang.
+        if running.has(End::Done) && !lasting {
+            unit.done = true;
+        }
+        let done = unit.done;
+        if running.is_over() {
+            if running.has(End::Failed) && !done && !lasting {
+                unit.failures += 1;
+            }
+            unit.running = None;
+            unit.ready_ms = now;
+            let exhausted = unit.failures >= max_attempts;
+            self.active.remove(&id);
+            if exhausted && !done {
+                self.end_job(index, now, id.job, State::Failed);
+            } else if !done && open {
+                self.ready.insert(id);
+            }
+        }
+        if done {
+            self.refresh_ready(now, id.job, id.occurrence);
+            self.complete(now, id.job);
+        }
+    }
+
+    fn complete(&mut self, now: Millis, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let all = job.opened == job.form.occurrences();
+        if job.state == State::Open && all && job.units.values().all(|unit| unit.done) {
+            job.state = State::Completed;
+            self.ended.push_back((now, id));
+        }
+    }
+
+    fn end_job(&mut self, index: Index, now: Millis, id: JobId, state: State) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.state != State::Open {
+            return;
+        }
+        job.state = state;
+        self.ended.push_back((now, id));
+        let units: Vec<UnitId> = job.units.keys().map(|key| job.unit_id(*key)).collect();
+        for unit in units {
+            self.ready.remove(&unit);
+            self.stop(index, unit, Cause::JobEnded);
+        }
+    }
+
+    fn gone(&mut self, index: Index, now: Millis, key: WorkerKey, saved: &[(Run, String)]) {
+        let Some(worker) = self.workers.get(&key) else {
+            return;
+        };
+        let run = |(task, number): (&crate::flow::Task, &u32)| Run {
+            task: *task,
+            number: *number,
+        };
+        let runs: Vec<Run> = worker.runs.iter().map(run).collect();
+        for run in runs {
+            let kept = saved.iter().find(|(other, _checkpoint)| *other == run);
+            let kept = kept.map(|(_run, checkpoint)| checkpoint.clone());
+            self.ended(index, now, key, run, End::Lapsed, kept.unwrap_or_default());
+        }
+        self.workers.remove(&key);
+    }
+}
+
+impl Job {
+    /// Whether anything of it may still run.
+    fn is_busy(&self) -> bool {
+        self.units.values().any(|unit| unit.running.is_some())
+    }
+
+    fn unit_id(&self, (occurrence, step, first): (u32, u32, u32)) -> UnitId {
+        UnitId {
+            job: self.id,
+            occurrence,
+            step,
+            first,
+        }
+    }
+}
--- /dev/null
+++ b/src/flow/place.rs
@@ -0,0 +1,284 @@
+//! The search for room: whole units on workers, with or without others giving way.
+
+use crate::flow::book::Info;
+use crate::flow::job::{Amount, Step};
+use crate::flow::{Millis, UnitId, WorkerKey};
+use crate::map;
+
+/// How far from the ideal place a unit may go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reach {
+    /// Only where it is not slowed: near its data, on one rack.
+    Ideal,
+    Anywhere,
+}
+
+/// What is to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    pub step: &'a Step,
+    pub tasks: u32,
+    pub reach: Reach,
+    /// When it would end, for workers that are reserved from a time on.
+    pub end_ms: Millis,
+}
+
+/// A run that may be stopped to make room.
+#[derive(Clone, Debug)]
+pub struct Victim {
+    pub unit: UnitId,
+    /// Work lost, in core-milliseconds.
+    pub cost: u64,
+    /// What it holds, by worker.
+    pub holds: Vec<(WorkerKey, Amount)>,
+}
+
+/// A worker as the search sees it.
+#[derive(Clone, Debug)]
+pub struct Offer<'a> {
+    pub key: WorkerKey,
+    pub info: &'a Info,
+    pub free: Amount,
+    /// Tasks of the same step that run there.
+    pub here: u32,
+    /// From when on it is reserved for another unit.
+    pub reserved_ms: Option<Millis>,
+    /// Whether the unit, or much else, has failed there.
+    pub doubtful: bool,
+}
+
+impl Offer<'_> {
+    fn admits(&self, ask: &Ask<'_>) -> bool {
+        let label = ask.step.label.as_ref();
+        label.is_none_or(|label| self.info.labels.contains(label))
+            && self.reserved_ms.is_none_or(|from_ms| ask.end_ms <= from_ms)
+    }
+
+    /// How many of the tasks fit here.
+    fn places(&self, ask: &Ask<'_>) -> u32 {
+        if !self.admits(ask) {
+            return 0;
+        }
+        let spread = match ask.step.spread {
+            0 => ask.tasks,
+            most => most.saturating_sub(self.here),
+        };
+        let limit = u64::from(ask.tasks.min(spread));
+        self.free.times(&ask.step.each, limit) as u32
+    }
+
+    /// Full workers first, so that whole ones stay free for wide tasks.
+    fn order(&self) -> (bool, u64, u64, WorkerKey) {
+        (
+            self.doubtful,
+            self.free.accelerators,
+            self.free.millicpus,
+            self.key,
+        )
+    }
+}
+
+/// A rack, by region and name.
+type Rack<'a> = (&'a str, &'a str);
+
+fn rack<'a>(info: &'a Info) -> Rack<'a> {
+    (&info.region, &info.rack)
+}
+
+/// Finds a worker for each task, whole or not at all.
+pub fn place(ask: &Ask<'_>, offers: &[Offer<'_>]) -> Option<Vec<WorkerKey>> {
+    let all: Vec<&Offer<'_>> = offers.iter().collect();
+    sets(ask, &all)
+        .into_iter()
+        .filter_map(|set| fill(ask, &set))
+        .min_by_key(|(_keys, left)| *left)
+        .map(|(keys, _left)| keys)
+}
+
+/// Sets of workers within which the unit must lie whole.
+fn sets<'o, 'a>(ask: &Ask<'_>, offers: &[&'o Offer<'a>]) -> Vec<Vec<&'o Offer<'a>>> {
+    if ask.reach == Reach::Anywhere {
+        return vec![offers.to_vec()];
+    }
+    if let Some(near) = &ask.step.near {
+        let there = offers.iter().filter(|offer| offer.info.rack == *near);
+        return vec![there.copied().collect()];
+    }
+    if ask.step.one_rack && ask.step.count > 1 {
+        let mut racks: Vec<Rack<'_>> = offers.iter().map(|offer| rack(offer.info)).collect();
+        racks.sort_unstable();
+        racks.dedup();
+        let of = |name: Rack<'_>| {
+            let there = offers.iter().filter(|offer| rack(offer.info) == name);
+            there.copied().collect()
+        };
+        return racks.into_iter().map(of).collect();
+    }
+    vec![offers.to_vec()]
+}
+
+/// Fills workers in order; tells what stays free on those that are used.
+fn fill(ask: &Ask<'_>, set: &[&Offer<'_>]) -> Option<(Vec<WorkerKey>, u64)> {
+    let mut fitting: Vec<(&Offer<'_>, u32)> = set
+        .iter()
+        .map(|offer| (*offer, offer.places(ask)))
+        .filter(|(_offer, places)| *places > 0)
+        .collect();
+    let room: u64 = fitting
+        .iter()
+        .map(|(_offer, places)| u64::from(*places))
+        .sum();
+    if room < u64::from(ask.tasks) {
+        return None;
+    }
+    fitting.sort_by_key(|(offer, _places)| offer.order());
+    let mut keys = Vec::new();
+    let mut left = 0;
+    for (offer, places) in fitting {
+        let take = places.min(ask.tasks - keys.len() as u32);
+        keys.extend(std::iter::repeat_n(offer.key, take as usize));
+        let rest = offer.free.less(&ask.step.each.scaled(u64::from(take)));
+        left += rest.accelerators + u64::from(offer.doubtful) * 1_000;
+        if keys.len() as u32 == ask.tasks {
+            return Some((keys, left));
+        }
+    }
+    None
+}
+
+/// Finds workers for all tasks by stopping the cheapest runs; none are stopped where room is free.
+pub fn reclaim(
+    ask: &Ask<'_>,
+    offers: &[Offer<'_>],
+    victims: &[Victim],
+) -> Option<(Vec<WorkerKey>, Vec<UnitId>)> {
+    let all: Vec<&Offer<'_>> = offers.iter().collect();
+    sets(ask, &all)
+        .into_iter()
+        .filter_map(|set| vacate(ask, &set, victims))
+        .min_by_key(|found| found.cost)
+        .map(|found| (found.keys, found.stopped))
+}
+
+struct Vacated {
+    keys: Vec<WorkerKey>,
+    stopped: Vec<UnitId>,
+    cost: u64,
+}
+
+/// Takes the tasks one by one to where the next costs least.
+fn vacate(ask: &Ask<'_>, set: &[&Offer<'_>], victims: &[Victim]) -> Option<Vacated> {
+    let mut free: map::Map<WorkerKey, Amount> = map::Map::default();
+    let mut here: map::Map<WorkerKey, u32> = map::Map::default();
+    for offer in set {
+        free.insert(offer.key, offer.free);
+        here.insert(offer.key, offer.here);
+    }
+    let mut gone = vec![false; victims.len()];
+    let mut keys: Vec<WorkerKey> = Vec::new();
+    let mut cost = 0;
+    for _task in 0..ask.tasks {
+        let mut best: Option<(u64, (bool, u64, u64, WorkerKey), Vec<usize>)> = None;
+        for offer in set.iter().filter(|offer| offer.admits(ask)) {
+            let full = ask.step.spread > 0 && here[&offer.key] >= ask.step.spread;
+            if full {
+                continue;
+            }
+            let Some((price, chosen)) = open(ask, offer.key, &free[&offer.key], victims, &gone)
+            else {
+                continue;
+            };
+            let order = (
+                offer.doubtful,
+                free[&offer.key].accelerators,
+                free[&offer.key].millicpus,
+                offer.key,
+            );
+            if best
+                .as_ref()
+                .is_none_or(|(least, other, _chosen)| (price, &order) < (*least, other))
+            {
+                best = Some((price, order, chosen));
+            }
+        }
+        let (price, (_doubtful, _accelerators, _cpus, key), chosen) = best?;
+        cost += price;
+        for at in chosen {
+            gone[at] = true;
+            for (worker, amount) in &victims[at].holds {
+                if let Some(free) = free.get_mut(worker) {
+                    *free = free.plus(amount);
+                }
+            }
+        }
+        if let Some(free) = free.get_mut(&key) {
+            *free = free.less(&ask.step.each);
+        }
+        *here.entry(key).or_default() += 1;
+        keys.push(key);
+    }
+    let stopped = victims.iter().zip(&gone);
+    let stopped = stopped
+        .filter(|(_victim, gone)| **gone)
+        .map(|(victim, _gone)| victim.unit)
+        .collect();
+    Some(Vacated {
+        keys,
+        stopped,
+        cost,
+    })
+}
+
+/// The cheapest runs whose end makes room for one task on a worker.
+fn open(
+    ask: &Ask<'_>,
+    key: WorkerKey,
+    free: &Amount,
+    victims: &[Victim],
+    gone: &[bool],
+) -> Option<(u64, Vec<usize>)> {
+    let need = &ask.step.each;
+    if free.fits(need) {
+        return Some((0, Vec::new()));
+    }
+    let mut here: Vec<(u64, usize, Amount)> = Vec::new();
+    for (at, victim) in victims
+        .iter()
+        .enumerate()
+        .filter(|(at, _victim)| !gone[*at])
+    {
+        let held = victim.holds.iter().find(|(worker, _amount)| *worker == key);
+        if let Some((_worker, amount)) = held {
+            here.push((victim.cost, at, *amount));
+        }
+    }
+    here.sort_unstable_by_key(|(cost, at, _amount)| (*cost, *at));
+    let mut room = *free;
+    let mut chosen: Vec<(u64, usize, Amount)> = Vec::new();
+    for entry in here {
+        if room.fits(need) {
+            break;
+        }
+        room = room.plus(&entry.2);
+        chosen.push(entry);
+    }
+    if !room.fits(need) {
+        return None;
+    }
+    // Spares those that the later, larger ones have made needless.
+    let mut at = 0;
+    while at < chosen.len() {
+        let without = room.less(&chosen[at].2);
+        if without.fits(need) {
+            room = without;
+            chosen.remove(at);
+        } else {
+            at += 1;
+        }
+    }
+    let cost = chosen.iter().map(|(cost, _at, _amount)| cost).sum();
+    Some((
+        cost,
+        chosen.into_iter().map(|(_cost, at, _amount)| at).collect(),
+    ))
+}
--- /dev/null
+++ b/src/flow/planner.rs
@@ -0,0 +1,388 @@
+//! The leader's decisions on jobs and workers.
+//!
+//! It works ahead of the log on a copy of the book: what it has decided counts at once for the next
+//! decision, and nothing outside sees it before it is in the log.
+
+mod pass;
+mod watch;
+
+use std::collections::BTreeMap;
+
+use crate::flow::book::{Book, Cause, End, Info};
+use crate::flow::catalog::{Catalog, Place};
+use crate::flow::command::{Accepted, Command};
+use crate::flow::message::{Act, Answer, Report};
+use crate::flow::{JobId, Millis, Run, UnitId, WorkerKey};
+use crate::raft::Index;
+
+/// Time without word from an agent after which its worker gets nothing new.
+const SILENT_MS: Millis = 2_500;
+
+/// Interval of passes that only time has brought about.
+const PASS_MS: Millis = 100;
+
+/// Time for which an agent goes on extending leases without word from the leader. It outlasts an
+/// election and a cut of seconds; a longer one keeps the work of a lost worker from others.
+pub const GRANT_MS: Millis = 6_000;
+
+/// Term of the leases on a worker; outlasts the restart of its agent.
+pub const LEASE_MS: Millis = 4_000;
+
+/// Added to grant and lease before what ran on a lost worker may start elsewhere: 2 % drift of
+/// both clocks, and the time of a message.
+const LOST_MARGIN_MS: Millis = 700;
+
+/// Settings of the planner.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    pub grant_ms: Millis,
+    pub lease_ms: Millis,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            grant_ms: GRANT_MS,
+            lease_ms: LEASE_MS,
+        }
+    }
+}
+
+/// A worker as last heard of.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    heard_ms: Millis,
+    /// When nothing can run there any more if its agent stays silent.
+    until_ms: Millis,
+    answers: bool,
+    leaving: bool,
+    /// Progress of each run: per cent, when it last rose, latest checkpoint.
+    progress: BTreeMap<Run, Progress>,
+    /// Failed runs in a row, and of how many jobs.
+    failed: Vec<JobId>,
+    quarantined_ms: Millis,
+    quarantines: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Progress {
+    percent: u32,
+    rose_ms: Millis,
+    saved: String,
+}
+
+/// Room that is being vacated for a unit.
+#[derive(Clone, Debug)]
+struct Claim {
+    workers: Vec<WorkerKey>,
+    until_ms: Millis,
+}
+
+/// The leader's soft state.
+#[derive(Debug)]
+pub struct Planner {
+    options: Options,
+    ahead: Book,
+    now: Millis,
+    wall: Millis,
+    seen: BTreeMap<WorkerKey, Seen>,
+    claims: BTreeMap<UnitId, Claim>,
+    commands: Vec<Command>,
+    dirty: bool,
+    passed_ms: Millis,
+}
+
+impl Planner {
+    /// Takes over from the log at a time on the monotonic clock.
+    pub fn new(book: &Book, now: Millis, options: Options) -> Self {
+        let mut planner = Self {
+            options,
+            ahead: book.clone(),
+            now,
+            wall: 0,
+            seen: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            commands: Vec::new(),
+            dirty: true,
+            passed_ms: 0,
+        };
+        // An earlier leader may have renewed any grant until now.
+        let until_ms = planner.grant_end();
+        for (key, _worker) in book.workers() {
+            let seen = Seen {
+                until_ms,
+                ..Seen::default()
+            };
+            planner.seen.insert(key, seen);
+        }
+        planner
+    }
+
+    /// The state that all decisions so far lead to.
+    pub fn ahead(&self) -> &Book {
+        &self.ahead
+    }
+
+    fn grant_end(&self) -> Millis {
+        let lasts_ms = self.options.grant_ms + self.options.lease_ms;
+        self.now + lasts_ms + lasts_ms / 50 + LOST_MARGIN_MS
+    }
+
+    fn push(&mut self, command: Command) {
+        self.ahead.apply(Index::MAX, self.wall, command.clone());
+        self.commands.push(command);
+        self.dirty = true;
+    }
+
+    /// Takes a caller's words; tells whether the answer must wait until the log has what was
+    /// decided.
+    pub fn request(
+        &mut self,
+        book: &Book,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+        act: Act,
+    ) -> (Answer, bool) {
+        let catalog = self.ahead.catalog();
+        if catalog.version == 0 {
+            return (Answer::Undeclared, false);
+        }
+        let Some((queue, place)) = catalog.find(host, path) else {
+            return (Answer::UnknownQueue, false);
+        };
+        let account = key.and_then(|key| catalog.account_of(key));
+        if account.is_none() && !queue.public {
+            return (Answer::Unauthorized, false);
+        }
+        let account = account.map_or(String::new(), |account| account.name.clone());
+        let queue = queue.clone();
+        match (place, act) {
+            (Some(Place::Queue), Act::Look) => {
+                (Answer::Pending(book.pending(&queue.name) as u64), false)
+            }
+            (Some(Place::Job(id)), Act::Submit(form)) => {
+                if let Some(job) = self.ahead.job(id) {
+                    let same = job.queue.name == queue.name;
+                    let stored = book.job(id).is_some();
+                    let answer = if same {
+                        Answer::Accepted
+                    } else {
+                        Answer::Invalid("the identity is in use at another queue".to_owned())
+                    };
+                    return (answer, same && !stored);
+                }
+                if let Some(fault) = form.fault() {
+                    return (Answer::Invalid(fault), false);
+                }
+                log::info!(job:% = format_args!("{id:016x}"), queue = queue.name, account = account;
+                    "accepted {} steps", form.steps.len());
+                let accepted = Accepted {
+                    id,
+                    queue,
+                    account,
+                    form: *form,
+                };
+                self.push(Command::Accept(Box::new(accepted)));
+                (Answer::Accepted, true)
+            }
+            (Some(Place::Job(id)), act) => match self.ahead.job(id) {
+                Some(job) if job.queue.name == queue.name => match act {
+                    Act::Cancel => {
+                        log::info!(job:% = format_args!("{id:016x}"); "cancelled by its caller");
+                        self.push(Command::Cancel { job: id });
+                        (Answer::Cancelled, true)
+                    }
+                    _ => (self.state(book, id), false),
+                },
+                _ => (Answer::UnknownJob, false),
+            },
+            _ => (Answer::UnknownJob, false),
+        }
+    }
+
+    fn state(&self, book: &Book, id: JobId) -> Answer {
+        book.job(id).map_or(Answer::UnknownJob, |job| {
+            Answer::State(job.state, job.started)
+        })
+    }
+
+    /// Takes a declaration, unless a version as high is known.
+    pub fn declare(&mut self, catalog: Box<Catalog>) {
+        if catalog.version > self.ahead.catalog().version {
+            log::info!(version = catalog.version, queues = catalog.queues.len(); "declaration taken");
+            self.push(Command::Declare(catalog));
+        }
+    }
+
+    /// Notes that an agent was given its orders, and with them a new grant.
+    pub fn granted(&mut self, now: Millis, worker: WorkerKey) {
+        self.now = self.now.max(now);
+        let until_ms = self.grant_end();
+        let seen = self.seen.entry(worker).or_default();
+        seen.until_ms = seen.until_ms.max(until_ms);
+        seen.heard_ms = seen.heard_ms.max(now);
+    }
+
+    /// Takes what an agent knows of its worker.
+    pub fn report(&mut self, now: Millis, report: Report) {
+        self.now = self.now.max(now);
+        let known = self.ahead.find_worker(&report.info.name, report.info.born);
+        let Some(key) = known.or_else(|| self.appear(&report.info)) else {
+            return;
+        };
+        if report.over {
+            self.gone(key, "its agent says that its leases are over");
+            return;
+        }
+        let quiet = self
+            .seen
+            .get(&key)
+            .is_none_or(|seen| seen.leaving || !seen.answers);
+        let until_ms = self.grant_end();
+        let now = self.now;
+        let seen = self.seen.entry(key).or_default();
+        seen.heard_ms = now;
+        seen.until_ms = seen.until_ms.max(until_ms);
+        if report.leaving && !seen.leaving {
+            log::info!(worker = report.info.name; "leaving, {} ms are left", report.remaining_ms);
+        }
+        seen.leaving = report.leaving;
+        seen.answers = report.answers;
+        self.dirty |= quiet;
+        self.note_progress(key, report.active);
+        let cursor = self.ahead.worker(key).map_or(0, |worker| worker.cursor);
+        for ended in report.ended {
+            if ended.number > cursor {
+                self.note_end(key, ended.run, ended.end);
+                self.push(Command::Ended {
+                    worker: key,
+                    number: ended.number,
+                    run: ended.run,
+                    end: ended.end,
+                    saved: ended.saved,
+                });
+            }
+        }
+        for run in report.absent {
+            let here = self.ahead.worker(key);
+            let held = here.is_some_and(|worker| worker.runs.get(&run.task) == Some(&run.number));
+            if held {
+                self.push(Command::Ended {
+                    worker: key,
+                    number: 0,
+                    run,
+                    end: End::Absent,
+                    saved: String::new(),
+                });
+            }
+        }
+    }
+
+    /// Records a new incarnation; whatever else ran beside the same agent is over.
+    fn appear(&mut self, info: &Info) -> Option<WorkerKey> {
+        let old: Vec<WorkerKey> = self
+            .ahead
+            .workers()
+            .filter(|(_key, worker)| {
+                worker.info.instance == info.instance || worker.info.name == info.name
+            })
+            .map(|(key, _worker)| key)
+            .collect();
+        for key in old {
+            self.gone(key, "a later incarnation has appeared");
+        }
+        let key = self.ahead.next_worker();
+        log::info!(worker = info.name, key = key.0, rack = info.rack, domain = info.domain; "worker appeared");
+        self.push(Command::Worker {
+            key,
+            info: info.clone(),
+        });
+        Some(key)
+    }
+
+    fn gone(&mut self, key: WorkerKey, why: &str) {
+        let seen = self.seen.remove(&key).unwrap_or_default();
+        let saved = seen.progress.into_iter();
+        let saved = saved.map(|(run, progress)| (run, progress.saved)).collect();
+        let name = self
+            .ahead
+            .worker(key)
+            .map(|worker| worker.info.name.clone());
+        log::info!(worker = name.unwrap_or_default(), key = key.0; "worker is over: {why}");
+        self.push(Command::Gone { worker: key, saved });
+    }
+
+    /// Decides on all that has come since the last call; returns commands for the log.
+    pub fn decide(&mut self, now: Millis, wall: Millis) -> Vec<Command> {
+        self.now = self.now.max(now);
+        self.wall = self.wall.max(wall);
+        if self.dirty || self.now >= self.passed_ms + PASS_MS {
+            self.passed_ms = self.now;
+            self.open_due();
+            self.drop_lost();
+            self.stop_broken();
+            self.dirty = false;
+            self.pass();
+            self.dirty = false;
+        }
+        std::mem::take(&mut self.commands)
+    }
+
+    /// Makes occurrences known that are due.
+    fn open_due(&mut self) {
+        let mut due: Vec<(JobId, u32)> = Vec::new();
+        for job in self.ahead.jobs() {
+            let more = job.opened < job.form.occurrences();
+            let open = job.state == crate::flow::book::State::Open;
+            if open
+                && more
+                && job.form.schedule.is_some()
+                && job.form.due_ms(job.opened) <= self.wall
+            {
+                due.push((job.id, job.opened));
+            }
+        }
+        for (job, occurrence) in due {
+            self.push(Command::Open { job, occurrence });
+        }
+    }
+
+    /// Gives up workers whose leases are certainly over.
+    fn drop_lost(&mut self) {
+        let now = self.now;
+        let keys: Vec<WorkerKey> = self.ahead.workers().map(|(key, _worker)| key).collect();
+        for key in keys {
+            let over = self.seen.get(&key).is_none_or(|seen| now > seen.until_ms);
+            if over {
+                self.gone(key, "nothing was heard of it until its leases were over");
+            }
+        }
+    }
+
+    /// Stops what is left of gangs that have lost a member.
+    fn stop_broken(&mut self) {
+        let broken: Vec<UnitId> = self
+            .ahead
+            .active()
+            .filter(|id| {
+                let unit = self.ahead.unit(*id);
+                let running = unit.and_then(|unit| unit.running.as_ref());
+                running.is_some_and(|running| running.stop.is_none() && running.is_broken())
+            })
+            .collect();
+        for unit in broken {
+            self.stop(unit, Cause::GangBroken);
+        }
+    }
+
+    fn stop(&mut self, unit: UnitId, cause: Cause) {
+        let running = self.ahead.unit(unit).and_then(|unit| unit.running.as_ref());
+        if running.is_none_or(|running| running.stop.is_some()) {
+            return;
+        }
+        log::info!(job:% = format_args!("{:016x}", unit.job), step = unit.step, first = unit.first;
+            "stop: {cause:?}");
+        self.push(Command::Stop { unit, cause });
+    }
+}
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -16,6 +16,7 @@
 use crate::config;
 use crate::config::diff;
 use crate::error;
+use crate::flow;
 use crate::raft::Index;
 use crate::report;
 use crate::sched::event;
@@ -183,6 +184,7 @@
     ended: VecDeque<(Millis, JobId)>,
     next_job: JobId,
     burn: report::Burn,
+    flow: flow::Book,
 }
 
 impl Ledger {
--- a/src/ledger/apply.rs
+++ b/src/ledger/apply.rs
@@ -15,6 +15,8 @@
 pub struct Touched {
     pub jobs: Vec<JobId>,
     pub config: bool,
+    /// Whether jobs of several steps or their workers have changed.
+    pub flow: bool,
     /// Agents whose grants have changed.
     pub agents: Vec<String>,
 }
@@ -129,7 +131,14 @@
                     },
                 );
             }
-            Command::Expire { before_ms } => self.expire(before_ms),
+            Command::Expire { before_ms } => {
+                self.expire(before_ms);
+                self.flow.expire(before_ms);
+            }
+            Command::Flow(command) => {
+                touched.flow = true;
+                self.flow.apply(index, now, command);
+            }
         }
     }
 
--- a/src/ledger/command.rs
+++ b/src/ledger/command.rs
@@ -8,6 +8,7 @@
 use crate::config;
 use crate::config::diff;
 use crate::error;
+use crate::flow;
 use crate::ledger::{Form, Request, Result, Stop, Verdict};
 use crate::sched::event;
 use crate::sched::fleet;
@@ -75,6 +76,8 @@
     },
     /// Forgets jobs that ended before a time, with their keys.
     Expire { before_ms: Millis },
+    /// Changes jobs of several steps or their workers.
+    Flow(flow::Command),
 }
 
 /// Commands that were decided together.
--- a/src/ledger/query.rs
+++ b/src/ledger/query.rs
@@ -2,6 +2,7 @@
 
 use crate::config;
 use crate::config::diff;
+use crate::flow;
 use crate::ledger::{Accepted, Agent, Job, Ledger, Worker};
 use crate::raft::Index;
 use crate::report;
@@ -18,6 +19,11 @@
 }
 
 impl Ledger {
+    /// Jobs of several steps and their workers.
+    pub fn flow(&self) -> &flow::Book {
+        &self.flow
+    }
+
     /// Index of the last entry applied.
     pub fn applied(&self) -> Index {
         self.applied
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod entry;
 pub mod error;
 pub mod explain;
+pub mod flow;
 pub mod ledger;
 pub mod limit;
 pub mod map;
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -231,6 +231,21 @@
         self.role == Role::Leader && self.log.term(self.commit) == Some(self.ballot.term)
     }
 
+    /// Whether a membership change may be proposed now.
+    pub fn may_change(&self) -> bool {
+        let under_way = self.log.members_after(self.commit);
+        self.is_settled() && self.transfer.is_none() && !under_way
+    }
+
+    /// Time since a leader last heard of another member; zero for one that it does not track.
+    pub fn silence_ms(&self, id: Id) -> Millis {
+        let progress = self.progress.get(&id);
+        progress.map_or(0, |progress| {
+            let heard_ms = progress.echoed_ms.max(self.elected_ms);
+            self.now.saturating_sub(heard_ms)
+        })
+    }
+
     /// Highest index known to match on another member, for a leader.
     pub fn matched(&self, id: Id) -> Option<Index> {
         self.progress.get(&id).map(|progress| progress.matched)
--- a/src/store.rs
+++ b/src/store.rs
@@ -114,6 +114,8 @@
             ),
         ));
     }
+    // What an interrupted preparation or removal has left.
+    clear(disk)?;
     let identity = Identity { id, format: FORMAT };
     if let Some(members) = voters {
         let payload = message::Payload::Members(members);
@@ -130,6 +132,34 @@
     disk.replace(IDENTITY, &text)
 }
 
+/// Reads whose folder it is; nothing for one that was never prepared.
+///
+/// # Errors
+/// `Storage` when the folder cannot be read.
+pub fn identity<D: disk::Disk>(disk: &mut D) -> Result<Option<Id>> {
+    if !disk.list()?.iter().any(|name| name == IDENTITY) {
+        return Ok(None);
+    }
+    read_identity(disk).map(|identity| Some(identity.id))
+}
+
+/// Empties a folder whose member is not to come back under its identity.
+///
+/// # Errors
+/// `Storage` when the disk fails.
+pub fn wipe<D: disk::Disk>(disk: &mut D) -> Result<()> {
+    // Without the identity the rest counts for nothing, so it goes first.
+    disk.remove(IDENTITY)?;
+    clear(disk)
+}
+
+fn clear<D: disk::Disk>(disk: &mut D) -> Result<()> {
+    for name in disk.list()? {
+        disk.remove(&name)?;
+    }
+    Ok(())
+}
+
 impl<D: disk::Disk> Store<D> {
     /// Reads the folder of a member.
     ///
@@ -350,6 +380,19 @@
             disk.name(IDENTITY)
         )));
     }
+    let identity = read_identity(disk)?;
+    if identity.id != id {
+        let name = disk.name(IDENTITY);
+        return Err(fault(format!(
+            "{name}: the folder belongs to member {}, not {id}",
+            identity.id
+        )));
+    }
+    Ok(())
+}
+
+fn read_identity<D: disk::Disk>(disk: &mut D) -> Result<Identity> {
+    let fault = |detail: String| error::Error::new(error::Kind::Storage, detail);
     let text = disk.read(IDENTITY)?;
     let identity: Identity = serde_json::from_slice(&text)
         .map_err(|err| fault(format!("{}: {err}", disk.name(IDENTITY))))?;
@@ -360,14 +403,7 @@
             identity.format
         )));
     }
-    if identity.id != id {
-        let name = disk.name(IDENTITY);
-        return Err(fault(format!(
-            "{name}: the folder belongs to member {}, not {id}",
-            identity.id
-        )));
-    }
-    Ok(())
+    Ok(identity)
 }
 
 fn read_snapshot<D: disk::Disk>(disk: &mut D) -> Result<Option<Snapshot>> {
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -7,6 +7,7 @@
 
 use crate::config;
 use crate::error;
+use crate::flow;
 use crate::ledger;
 use crate::ledger::query;
 use crate::raft::Index;
@@ -278,4 +279,7 @@
     Query(Query),
     /// A document for the operator, as JSON.
     Document(String),
+    /// About jobs of several steps and their workers.
+    Flow(flow::message::Call),
+    FlowReply(flow::message::Reply),
 }
