--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -9,6 +9,7 @@
 
 use crossbeam::channel;
 
+use crate::clock;
 use crate::config;
 use crate::config::parse;
 use crate::control::{disk, group, leader, member};
@@ -148,7 +149,7 @@
             addr,
             leader: leader::Options {
                 retention_ms: options.retention.as_millis() as u64,
-                seed: options.id,
+                seed: clock::incarnation(),
             },
         },
         options.id,
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -99,7 +99,7 @@
             id,
             ballot: recovered.ballot,
             log: recovered.log,
-            seed: options.leader.seed ^ id,
+            seed: options.leader.seed,
         };
         let mut watchers = watch::Watchers::default();
         watchers.reset(ledger.applied());
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -146,7 +146,7 @@
         let mut node = Self {
             id: start.id,
             timing,
-            rng: start.seed | 1,
+            rng: mix(start.seed.wrapping_add(mix(start.id))),
             now,
             ballot: start.ballot,
             role: Role::Follower,
@@ -527,3 +527,12 @@
         self.deadline = self.now + self.timing.election_ms + jitter;
     }
 }
+
+/// Spreads a number over all bits, so that alike seeds give unlike draws; never zero.
+/// splitmix64: Steele, Lea and Flood, OOPSLA 2014.
+fn mix(seed: u64) -> u64 {
+    let mut bits = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    (bits ^ (bits >> 31)).max(1)
+}
