flow: a gang of which one member is done is left to end

Cause: the members of a gang end as done in the same moment but are listed one after the other, and the rest was ordered to stop.

--- a/src/flow/book.rs
+++ b/src/flow/book.rs
@@ -108,9 +108,11 @@
         self.members.iter().any(|member| member.end == Some(end))
     }
 
-    /// Whether some but not all members have ended.
+    /// Whether some but not all members have ended, none of them as done. Where one is done the
+    /// others end by themselves in the same moment.
     pub fn is_broken(&self) -> bool {
-        self.members.iter().any(|member| member.end.is_some()) && !self.is_over()
+        let some = self.members.iter().any(|member| member.end.is_some());
+        some && !self.is_over() && !self.has(End::Done)
     }
 }
 
