agent: the first lists of a worker's incarnation are asked for without a wait

Cause: after a start of worker or agent the first call for lists waited its full second for an end, and the worker got nothing until then.

--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -336,12 +336,13 @@
         self.act(now)
     }
 
-    /// The next call for the worker's lists.
+    /// The next call for the worker's lists; the first one of an incarnation does not wait.
     pub fn list(&mut self, now: Millis, wait_ms: Millis) -> Option<List> {
         let (worker, _born) = self.incarnation()?;
         if self.token == 0 {
             return None;
         }
+        let wait_ms = if self.lists.is_none() { 0 } else { wait_ms };
         let expires_ms = self.expires_ms(now);
         if expires_ms.is_some() {
             self.lease_sent(now);
