--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -34,6 +34,8 @@
 
 #[derive(Debug)]
 struct Shared {
+    /// Position of the member to be asked while no leader is known.
+    next: usize,
     /// Members to ask; never empty.
     members: Vec<SocketAddr>,
     leader: Option<SocketAddr>,
@@ -45,6 +47,7 @@
     pub fn new(transport: transport::Transport, members: Vec<SocketAddr>) -> Self {
         let budget = limit::Budget::new(RETRY_PERCENT, RETRY_RESERVE);
         let shared = Arc::new(Mutex::new(Shared {
+            next: 0,
             members,
             leader: None,
             budget,
@@ -91,13 +94,13 @@
         let mut last = String::from("no member was reached");
         let mut ran = error::Ran::No;
         while tries == 0 || start.elapsed() < limit {
-            let addr = self.choose(tries);
+            let addr = self.choose();
             tries += 1;
             let left = (limit + wait).saturating_sub(start.elapsed());
             let timeout = timeout.min(left.max(Duration::from_millis(100)));
             match self.transport.call(addr, frame.clone(), timeout) {
                 Ok(Frame::Redirect { leader }) => {
-                    self.shared().leader = leader.filter(|leader| *leader != addr);
+                    self.pass_on(leader.filter(|leader| *leader != addr));
                     last = format!("{addr} does not lead");
                     if leader.is_some_and(|leader| leader != addr) && tries < 4 {
                         continue;
@@ -107,7 +110,7 @@
                     if err.ran != error::Ran::No {
                         ran = error::Ran::Unknown;
                     }
-                    self.shared().leader = None;
+                    self.pass_on(None);
                     last = err.detail;
                 }
                 result => {
@@ -138,12 +141,20 @@
             .call(addr, frame.clone(), wait + Duration::from_millis(CALL_MS))
     }
 
-    fn choose(&self, tries: u32) -> SocketAddr {
+    fn choose(&self) -> SocketAddr {
         let shared = self.shared();
-        let next = || shared.members[tries as usize % shared.members.len()];
+        let next = || shared.members[shared.next % shared.members.len()];
         shared.leader.unwrap_or_else(next)
     }
 
+    /// Goes on to the next member, which later calls begin with too: one that does not answer would
+    /// else take the time of each of them.
+    fn pass_on(&self, leader: Option<SocketAddr>) {
+        let mut shared = self.shared();
+        shared.leader = leader;
+        shared.next = shared.next.wrapping_add(1);
+    }
+
     fn shared(&self) -> std::sync::MutexGuard<'_, Shared> {
         self.shared.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/wire/pool.rs
+++ b/src/wire/pool.rs
@@ -115,7 +115,8 @@
 }
 
 async fn connect(addr: SocketAddr) -> Result<client::SendRequest<Bytes>> {
-    let failed = |detail: String| unreachable(addr, &detail);
+    // Nothing has been sent yet, so nothing can have run.
+    let failed = |detail: String| unreachable(addr, &detail).with_ran(error::Ran::No);
     let attempt = time::timeout(CONNECT_TIMEOUT, net::TcpStream::connect(addr)).await;
     let stream = match attempt {
         Ok(stream) => stream.map_err(|err| failed(err.to_string()))?,
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -10,6 +10,8 @@
 mod election;
 #[path = "tests/error.rs"]
 mod error;
+#[path = "tests/group.rs"]
+mod group;
 #[path = "tests/limit.rs"]
 mod limit;
 #[path = "tests/raft.rs"]
