--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -10,8 +10,9 @@
 use crate::limit;
 use crate::wire::{self, Frame, transport};
 
-/// Time that one member gets to answer, beyond a long poll's own time.
-const CALL_MS: u64 = 1_500;
+/// Time that one member gets to answer, beyond a long poll's own time: two slow syncs and the way
+/// between regions. An answer that comes later is asked for again under the same identity.
+const CALL_MS: u64 = 700;
 
 /// First pause before a retry.
 const PAUSE_MS: u64 = 20;
--- a/src/flow/planner.rs
+++ b/src/flow/planner.rs
@@ -32,6 +32,10 @@
 /// both clocks, and the time of a message.
 const LOST_MARGIN_MS: Millis = 700;
 
+/// Time after taking over in which agents find the new leader; until all workers have been heard of
+/// again, nothing is placed.
+const GATHER_MS: Millis = 1_200;
+
 /// Settings of the planner.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -54,6 +58,8 @@
     heard_ms: Millis,
     /// When nothing can run there any more if its agent stays silent.
     until_ms: Millis,
+    /// Whether its agent has reported to this leader.
+    reported: bool,
     answers: bool,
     leaving: bool,
     /// Progress of each run: per cent, when it last rose, latest checkpoint.
@@ -90,6 +96,8 @@
     commands: Vec<Command>,
     dirty: bool,
     passed_ms: Millis,
+    /// When this member took over; zero once all workers are known or had their time.
+    gather_ms: Millis,
 }
 
 impl Planner {
@@ -105,6 +113,7 @@
             commands: Vec::new(),
             dirty: true,
             passed_ms: 0,
+            gather_ms: now,
         };
         // An earlier leader may have renewed any grant until now.
         let until_ms = planner.grant_end();
@@ -249,6 +258,7 @@
         }
         seen.leaving = report.leaving;
         seen.answers = report.answers;
+        seen.reported = true;
         self.dirty |= quiet;
         self.note_progress(key, report.active);
         let cursor = self.ahead.worker(key).map_or(0, |worker| worker.cursor);
@@ -322,13 +332,33 @@
             self.open_due();
             self.drop_lost();
             self.stop_broken();
-            self.dirty = false;
-            self.pass();
+            if self.is_gathered() {
+                self.pass();
+            }
             self.dirty = false;
         }
         std::mem::take(&mut self.commands)
     }
 
+    /// Whether the workers have been heard of since this member took over. With some of them
+    /// unknown, runs would be stopped for room that is free elsewhere.
+    fn is_gathered(&mut self) -> bool {
+        if self.gather_ms == 0 {
+            return true;
+        }
+        let mut workers = self.ahead.workers();
+        let heard = workers.all(|(key, _worker)| self.is_heard(key));
+        drop(workers);
+        if heard || self.now >= self.gather_ms + GATHER_MS {
+            self.gather_ms = 0;
+        }
+        self.gather_ms == 0
+    }
+
+    fn is_heard(&self, key: WorkerKey) -> bool {
+        self.seen.get(&key).is_some_and(|seen| seen.reported)
+    }
+
     /// Makes occurrences known that are due.
     fn open_due(&mut self) {
         let mut due: Vec<(JobId, u32)> = Vec::new();
