--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -18,7 +18,7 @@
 const RETRY_MS: Millis = 250;
 
 /// Longest wait of a poll for orders.
-pub const POLL_MS: Millis = 1_000;
+pub const POLL_MS: Millis = 500;
 
 /// Longest wait of a worker's list for an end.
 pub const LIST_MS: Millis = 1_000;
--- a/src/flow/planner.rs
+++ b/src/flow/planner.rs
@@ -34,7 +34,7 @@
 
 /// Time after taking over in which agents find the new leader; until all workers have been heard of
 /// again, nothing is placed.
-const GATHER_MS: Millis = 1_200;
+const GATHER_MS: Millis = 700;
 
 /// Settings of the planner.
 #[derive(Clone, Copy, Debug)]
