--- a/src/flow/planner/pass.rs
+++ b/src/flow/planner/pass.rs
@@ -19,6 +19,9 @@
 /// Time in which those who give way must have ended.
 const CLAIM_MS: Millis = 2_500;
 
+/// Time for which a unit rather waits than goes back to where it has failed.
+const BAD_WAIT_MS: Millis = 4_000;
+
 /// Units that hold a reservation at a time.
 const MAX_RESERVATIONS: usize = 2;
 
@@ -232,6 +235,7 @@
     /// Workers of a service that may get something now.
     fn offers<'a>(&'a self, desk: &Desk, id: UnitId, unit: &Unit, service: &str) -> Vec<Offer<'a>> {
         let mut offers = Vec::new();
+        let patient = self.wall < unit.ready_ms + BAD_WAIT_MS;
         for (key, worker) in self.ahead.workers() {
             let usable = worker.info.service == service && self.is_usable(key);
             if !usable {
@@ -242,13 +246,17 @@
             };
             let here = worker.runs.keys().filter(|task| same(task)).count() as u32;
             let claimed = desk.claimed.get(&key).copied().unwrap_or_default();
+            let failed_here = unit.bad.contains(&key);
+            if failed_here && patient {
+                continue;
+            }
             offers.push(Offer {
                 key,
                 info: &worker.info,
                 free: worker.info.total.less(&worker.used).less(&claimed),
                 here,
                 reserved_ms: desk.reserved.get(&key).copied(),
-                doubtful: unit.bad.contains(&key),
+                doubtful: failed_here || self.is_doubtful(key),
             });
         }
         offers
--- a/src/flow/planner/watch.rs
+++ b/src/flow/planner/watch.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Whether the last run to end on a worker by itself has failed.
+    pub(super) fn is_doubtful(&self, key: WorkerKey) -> bool {
+        self.seen.get(&key).is_some_and(|seen| !seen.failed.is_empty())
+    }
+
     /// Counts failures in a row and puts a worker aside on which several jobs have failed.
     pub(super) fn note_end(&mut self, key: WorkerKey, run: Run, end: End) {
         let now = self.now;
