--- a/src/flow/planner/pass.rs
+++ b/src/flow/planner/pass.rs
@@ -31,6 +31,15 @@
 /// Unfinished work that a checkpoint can miss, in milliseconds.
 const CHECKPOINT_COST_MS: Millis = 500;
 
+/// Factor of the cost of stopping the most urgent work; halves with each step of priority.
+const URGENCY_COST: u64 = 16;
+
+/// Priority from which on the cost falls no further.
+const LEAST_URGENT: u32 = 4;
+
+/// Earlier runs of a unit that each double the cost of stopping it.
+const DEAR_RUNS: u32 = 6;
+
 /// Place in the order: smaller goes first.
 type Rank = (bool, u32, Millis, UnitId);
 
@@ -127,6 +136,7 @@
         };
         let (step, priority) = (step.clone(), job.queue.priority);
         let service = job.queue.service.clone();
+        let due_ms = job.due_ms(id.occurrence);
         let Some(unit) = self.ahead.unit(id).cloned() else {
             return false;
         };
@@ -156,7 +166,8 @@
                 ask.reach = *reach;
                 found = found.or_else(|| place::place(&ask, &offers));
             }
-            if found.is_none() && (priority == 0 || entitled) {
+            let in_time = ask.end_ms <= due_ms;
+            if found.is_none() && (entitled || priority == 0 && in_time) {
                 let victims = self.victims(desk, entitled, priority);
                 let mut made = None;
                 for reach in reaches {
@@ -296,10 +307,12 @@
                 ran_ms
             };
             let weight = step.each.weight() * holds.len() as u64 / 1_000;
+            // What is more urgent, and what has been stopped before, is stopped rather last.
+            let dear = URGENCY_COST >> job.queue.priority.min(LEAST_URGENT) << unit.run.min(DEAR_RUNS);
             let cost = if ending {
                 1
             } else {
-                (lost_ms + STOP_COST_MS) * weight
+                (lost_ms + STOP_COST_MS) * weight * dear
             };
             victims.push(Victim {
                 unit: id,
