planner: runs that stand still are stopped; agents pace their lists

Stillness is judged by the age of the lists: a list that was lost had made two sound runs look still.

--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -439,6 +439,13 @@
             .any(|(_run, removal)| removal.confirmed_ms.is_some())
     }
 
+    /// Whether ends are listed that the leader has not taken note of; the worker answers at once as
+    /// long as there are some.
+    pub fn has_open_ends(&self) -> bool {
+        let ended = self.lists.iter().flat_map(|lists| &lists.ended);
+        ended.into_iter().any(|ended| ended.number > self.cursor)
+    }
+
     /// Orders whose time has come.
     pub fn act(&mut self, now: Millis) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -546,6 +553,7 @@
             leaving: worker.as_ref().is_some_and(|worker| worker.leaving),
             remaining_ms: worker.map_or(0, |worker| worker.remaining_ms),
             answers,
+            age_ms: now.saturating_sub(self.answered_ms),
             over: self.is_over(now, answers),
             active: lists.active,
             ended: lists
--- a/src/flow/message.rs
+++ b/src/flow/message.rs
@@ -71,6 +71,8 @@
     pub remaining_ms: Millis,
     /// Whether the worker answers.
     pub answers: bool,
+    /// Age of what is said of runs and ends.
+    pub age_ms: Millis,
     /// Whether its leases are over, so that nothing of this incarnation runs.
     pub over: bool,
     pub active: Vec<Active>,
--- a/src/flow/planner.rs
+++ b/src/flow/planner.rs
@@ -58,6 +58,8 @@
     heard_ms: Millis,
     /// When nothing can run there any more if its agent stays silent.
     until_ms: Millis,
+    /// When the worker gave the lists that its agent reported last.
+    listed_ms: Millis,
     /// Whether its agent has reported to this leader.
     reported: bool,
     answers: bool,
@@ -259,6 +261,7 @@
         seen.leaving = report.leaving;
         seen.answers = report.answers;
         seen.reported = true;
+        seen.listed_ms = seen.listed_ms.max(now.saturating_sub(report.age_ms));
         self.dirty |= quiet;
         self.note_progress(key, report.active);
         let cursor = self.ahead.worker(key).map_or(0, |worker| worker.cursor);
@@ -332,6 +335,7 @@
             self.open_due();
             self.drop_lost();
             self.stop_broken();
+            self.stop_still();
             if self.is_gathered() {
                 self.pass();
             }
