--- a/src/flow/planner/pass.rs
+++ b/src/flow/planner/pass.rs
@@ -308,7 +308,8 @@
             };
             let weight = step.each.weight() * holds.len() as u64 / 1_000;
             // What is more urgent, and what has been stopped before, is stopped rather last.
-            let dear = URGENCY_COST >> job.queue.priority.min(LEAST_URGENT) << unit.run.min(DEAR_RUNS);
+            let dear =
+                URGENCY_COST >> job.queue.priority.min(LEAST_URGENT) << unit.run.min(DEAR_RUNS);
             let cost = if ending {
                 1
             } else {
--- a/src/flow/planner/watch.rs
+++ b/src/flow/planner/watch.rs
@@ -57,7 +57,9 @@
 
     /// Whether the last run to end on a worker by itself has failed.
     pub(super) fn is_doubtful(&self, key: WorkerKey) -> bool {
-        self.seen.get(&key).is_some_and(|seen| !seen.failed.is_empty())
+        self.seen
+            .get(&key)
+            .is_some_and(|seen| !seen.failed.is_empty())
     }
 
     /// Counts failures in a row and puts a worker aside on which several jobs have failed.
@@ -106,7 +108,10 @@
         let unit = self.ahead.unit(id)?;
         let running = unit.running.as_ref()?;
         let watched = !step.lasting && step.estimate_ms < LONGEST_WATCHED_MS;
-        if !watched || running.stop.is_some() || running.members.iter().any(|member| member.end.is_some()) {
+        if !watched
+            || running.stop.is_some()
+            || running.members.iter().any(|member| member.end.is_some())
+        {
             return None;
         }
         let all_still = running
@@ -146,7 +151,8 @@
             return;
         };
         let listed_ms = seen.listed_ms;
-        let moves = |progress: &Progress| listed_ms < progress.rose_ms + FRESH_MS && progress.percent > 0;
+        let moves =
+            |progress: &Progress| listed_ms < progress.rose_ms + FRESH_MS && progress.percent > 0;
         if seen.progress.values().any(moves) {
             return;
         }
--- a/src/uplink.rs
+++ b/src/uplink.rs
@@ -140,6 +140,8 @@
             Ok(Frame::Document(text)) => match serde_json::from_str(&text) {
                 Ok(config) => {
                     identity.live.replace(config);
+                    // The leader answers under its lease, so this is as good as a fresh update.
+                    identity.live.touch();
                     return;
                 }
                 Err(err) => log::error!("configuration not readable: {err}"),
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -26,3 +26,5 @@
 mod support;
 #[path = "tests/system.rs"]
 mod system;
+#[path = "tests/uplink.rs"]
+mod uplink;
--- a/tests/tests/election.rs
+++ b/tests/tests/election.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use oriolereel::raft::Id;
 use oriolereel::raft::log::Log;
 use oriolereel::raft::members::Members;
 use oriolereel::raft::message::{Ballot, Entry, Message, Payload};
 use oriolereel::raft::node::{Effects, Node, Role, Start, Timing};
-use oriolereel::raft::Id;
 
 /// Bound of recovery: the smallest of the platform's bounds for it is far above.
 const ELECTED_WITHIN_MS: u64 = 5_000;
--- /dev/null
+++ b/tests/tests/uplink.rs
@@ -0,0 +1,79 @@
+//! What entries and agents know of the control group.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel;
+use oriolereel::config;
+use oriolereel::control::group::Group;
+use oriolereel::uplink;
+use oriolereel::wire::Frame;
+use oriolereel::wire::frame::{Node, Query, Role};
+use oriolereel::wire::transport::{Options, Transport};
+
+const LOCAL: &str = "127.0.0.1:0";
+
+/// Looks at a condition that nothing but a fault keeps from becoming true.
+const LOOKS: u32 = 300;
+
+/// A leader that gives the configuration and holds every poll open.
+fn leader(generation: u64) -> SocketAddr {
+    let (calls_in, calls) = channel::bounded(16);
+    let listen = Some((LOCAL.parse().expect("an address"), calls_in));
+    let delay = Duration::ZERO;
+    let transport = Transport::start(Options { listen, delay }).expect("a free port");
+    let addr = transport.local_addr().expect("an address");
+    thread::spawn(move || {
+        let _keep = transport;
+        let mut held = Vec::new();
+        for call in calls {
+            match call.frame {
+                Frame::Query(Query::Config) => {
+                    let config = config::Config {
+                        generation,
+                        ..config::Config::default()
+                    };
+                    let text = serde_json::to_string(&config).expect("plain data");
+                    call.reply.send(Frame::Document(text));
+                }
+                _ => held.push(call.reply),
+            }
+        }
+    });
+    addr
+}
+
+#[test]
+fn a_process_that_has_the_leaders_configuration_may_use_it_before_its_first_poll_ends() {
+    let transport = Transport::start(Options::default()).expect("a transport");
+    let group = Group::new(transport, vec![leader(7)]);
+    let live: Arc<uplink::Live> = Arc::default();
+    let identity = uplink::Identity {
+        node: Node {
+            name: "entry".to_owned(),
+            role: Role::Entry,
+            region: "r".to_owned(),
+            addr: LOCAL.parse().expect("an address"),
+            incarnation: 1,
+            generation: 0,
+        },
+        live: Arc::clone(&live),
+    };
+    uplink::watch(identity, group, uplink::Ignore).expect("a thread");
+    let becomes = |condition: &dyn Fn() -> bool| {
+        (0..LOOKS).any(|_look| {
+            thread::sleep(Duration::from_millis(10));
+            condition()
+        })
+    };
+    assert!(
+        becomes(&|| live.config().generation == 7),
+        "no configuration was read"
+    );
+    assert!(
+        becomes(&|| live.is_fresh()),
+        "the process reports the configuration and refuses its callers"
+    );
+}
