--- a/src/control/flow.rs
+++ b/src/control/flow.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 
 use crate::clock;
+use crate::flow::Command;
 use crate::flow::book::Book;
-use crate::flow::message::{Call, Orders, Poll, Reply, Request, Start};
+use crate::flow::message::{Call, Orders, Poll, Reply, Request};
 use crate::flow::planner::{self, Planner};
-use crate::flow::{Command, Run, WorkerKey};
 use crate::raft::Index;
 use crate::wire::call;
 use crate::wire::frame::Frame;
@@ -157,7 +157,7 @@
             if poller.reply.is_closed() {
                 continue;
             }
-            let key = self.worker_of(book, &poller.poll);
+            let key = book.polled_worker(&poller.poll);
             let worker = key.and_then(|key| book.worker(key));
             let changed = worker.is_some_and(|worker| worker.changed > poller.poll.seen);
             let asks_first = poller.poll.seen == 0 && worker.is_some();
@@ -165,7 +165,11 @@
                 self.pollers.push(poller);
                 continue;
             }
-            let orders = self.orders(book, index, key, &poller.poll);
+            let orders = Orders {
+                token: self.token,
+                members: self.members.clone(),
+                ..book.orders(index, &poller.poll)
+            };
             if let Some(key) = key {
                 self.planner.granted(now, key);
             }
@@ -175,48 +179,6 @@
         }
     }
 
-    fn worker_of(&self, book: &Book, poll: &Poll) -> Option<WorkerKey> {
-        match &poll.worker {
-            Some((name, born)) => book.find_worker(name, *born),
-            None => {
-                let mut workers = book.workers();
-                let mine = workers.find(|(_key, worker)| worker.info.instance == poll.instance);
-                mine.map(|(key, _worker)| key)
-            }
-        }
-    }
-
-    fn orders(&self, book: &Book, index: Index, key: Option<WorkerKey>, poll: &Poll) -> Orders {
-        let mut orders = Orders {
-            token: self.token,
-            index,
-            members: self.members.clone(),
-            ..Orders::default()
-        };
-        let Some((key, worker)) = key.and_then(|key| Some((key, book.worker(key)?))) else {
-            return orders;
-        };
-        orders.worker = Some((key, worker.info.clone()));
-        orders.cursor = worker.cursor;
-        for (task, number) in &worker.runs {
-            let run = Run {
-                task: *task,
-                number: *number,
-            };
-            if !book.is_wanted(key, run) {
-                orders.stops.push(run);
-                continue;
-            }
-            orders.wanted.push(run);
-            if !poll.known.contains(&run)
-                && let Some(start) = start(book, run)
-            {
-                orders.starts.push(start);
-            }
-        }
-        orders
-    }
-
     /// Tells everyone who waits that this member no longer leads.
     pub fn resign(self) {
         let waiters = self.waiters.into_iter().map(|waiter| waiter.reply);
@@ -238,14 +200,3 @@
     )
     .with_ran(crate::error::Ran::Unknown)
 }
-
-fn start(book: &Book, run: Run) -> Option<Start> {
-    let id = book.unit_of(run.task)?;
-    let payload = book.job(run.task.job)?.form.payload.clone();
-    let checkpoint = book.unit(id)?.checkpoint.clone();
-    Some(Start {
-        run,
-        payload,
-        checkpoint,
-    })
-}
--- a/src/control/join.rs
+++ b/src/control/join.rs
@@ -13,6 +13,13 @@
 /// Time without word after which a member counts as gone when there is another in its stead.
 const GONE_MS: Millis = 3_500;
 
+/// The same when nothing comes in its stead and the group is large: a member that restarts soon
+/// keeps its place.
+const LONG_GONE_MS: Millis = 8_000;
+
+/// Largest even group that cannot lose another member while one is silent.
+const SMALL_GROUP: usize = 4;
+
 /// Time for which a newcomer's wish stands.
 const WISH_MS: Millis = 3_000;
 
@@ -32,15 +39,20 @@
     pub fn next(&mut self, now: Millis, node: &Node) -> Option<Change> {
         let members = node.members();
         self.wishes.retain(|id, (_addr, at_ms)| {
-            now < *at_ms + WISH_MS && members.addr(*id).is_none() && *id > members.last_id
+            now < *at_ms + WISH_MS && members.addr(*id).is_none() && !members.removed.contains(id)
         });
         if !node.may_change() {
             return None;
         }
-        let gone = silent(node);
+        let silent = most_silent(node);
+        let gone = silent
+            .filter(|(ms, _id)| *ms >= GONE_MS)
+            .map(|(_ms, id)| id);
         // Beyond an odd number a silent member only makes the quorum larger.
         let even = members.voters.len() % 2 == 0;
-        if even && let Some(id) = gone {
+        let small = members.voters.len() <= SMALL_GROUP;
+        let limit_ms = if small { GONE_MS } else { LONG_GONE_MS };
+        if let Some((_ms, id)) = silent.filter(|(ms, _id)| even && *ms >= limit_ms) {
             return Some(Change::Remove { id });
         }
         let (id, (addr, _at_ms)) = self.wishes.iter().next()?;
@@ -62,12 +74,9 @@
     }
 }
 
-/// The voter that has been silent longest, if for long enough and a quorum stays without it.
-fn silent(node: &Node) -> Option<Id> {
+/// The voter that has been silent longest, and for how long.
+fn most_silent(node: &Node) -> Option<(Millis, Id)> {
     let voters = node.members().voters.keys();
-    let silent = voters
-        .filter(|id| **id != node.id())
-        .map(|id| (node.silence_ms(*id), *id))
-        .max()?;
-    (silent.0 >= GONE_MS).then_some(silent.1)
+    let others = voters.filter(|id| **id != node.id());
+    others.map(|id| (node.silence_ms(*id), *id)).max()
 }
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -378,7 +378,7 @@
     /// Takes a member's wish for a place in the group.
     fn join(&mut self, id: Id, addr: SocketAddr, blank: bool, reply: call::Reply) {
         let members = self.node.members();
-        if members.addr(id).is_none() && (!blank || id <= members.last_id) {
+        if members.addr(id).is_none() && (!blank || members.removed.contains(&id)) {
             reply.fail(error::Error::new(
                 error::Kind::InvalidMember,
                 format!("member {id} has been removed; it must come back under a new identity"),
--- a/src/flow/book.rs
+++ b/src/flow/book.rs
@@ -4,6 +4,7 @@
 //! the same way on every member.
 
 mod apply;
+mod orders;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
--- /dev/null
+++ b/src/flow/book/orders.rs
@@ -0,0 +1,62 @@
+//! What an agent is told of its worker.
+
+use crate::flow::book::Book;
+use crate::flow::message::{Orders, Poll, Start};
+use crate::flow::{Run, WorkerKey};
+use crate::raft::Index;
+
+impl Book {
+    /// The worker that a poll asks about: the incarnation it names, or the one known beside the
+    /// agent.
+    pub fn polled_worker(&self, poll: &Poll) -> Option<WorkerKey> {
+        match &poll.worker {
+            Some((name, born)) => self.find_worker(name, *born),
+            None => {
+                let mut workers = self.workers();
+                let mine = workers.find(|(_key, worker)| worker.info.instance == poll.instance);
+                mine.map(|(key, _worker)| key)
+            }
+        }
+    }
+
+    /// All that is to be there and all that is not, as of an index; token and members are the
+    /// leader's to add.
+    pub fn orders(&self, index: Index, poll: &Poll) -> Orders {
+        let mut orders = Orders {
+            index,
+            ..Orders::default()
+        };
+        let key = self.polled_worker(poll);
+        let Some((key, worker)) = key.and_then(|key| Some((key, self.worker(key)?))) else {
+            return orders;
+        };
+        orders.worker = Some((key, worker.info.clone()));
+        orders.cursor = worker.cursor;
+        for (task, number) in &worker.runs {
+            let run = Run {
+                task: *task,
+                number: *number,
+            };
+            if !self.is_wanted(key, run) {
+                orders.stops.push(run);
+                continue;
+            }
+            orders.wanted.push(run);
+            if !poll.known.contains(&run) {
+                orders.starts.extend(self.start(run));
+            }
+        }
+        orders
+    }
+
+    fn start(&self, run: Run) -> Option<Start> {
+        let id = self.unit_of(run.task)?;
+        let payload = self.job(run.task.job)?.form.payload.clone();
+        let checkpoint = self.unit(id)?.checkpoint.clone();
+        Some(Start {
+            run,
+            payload,
+            checkpoint,
+        })
+    }
+}
--- a/src/raft/members.rs
+++ b/src/raft/members.rs
@@ -1,6 +1,6 @@
 //! The control group's membership.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -21,8 +21,8 @@
     pub voters: BTreeMap<Id, SocketAddr>,
     /// Members that receive the log but do not vote yet.
     pub learners: BTreeMap<Id, SocketAddr>,
-    /// Highest identity ever used; a new member needs a higher one.
-    pub last_id: Id,
+    /// Identities of members that were removed; none is used twice.
+    pub removed: BTreeSet<Id>,
 }
 
 /// A change of one member.
@@ -39,11 +39,10 @@
 impl Members {
     /// Makes the first membership of a new group.
     pub fn initial(voters: BTreeMap<Id, SocketAddr>) -> Self {
-        let last_id = voters.keys().next_back().copied().unwrap_or(0);
         Self {
             voters,
             learners: BTreeMap::new(),
-            last_id,
+            removed: BTreeSet::new(),
         }
     }
 
@@ -86,10 +85,9 @@
     }
 
     fn add(&mut self, id: Id, addr: SocketAddr) -> Result<()> {
-        if id <= self.last_id {
+        if self.removed.contains(&id) || self.addr(id).is_some() {
             return Err(invalid(format!(
-                "member {id} cannot be added: identities up to {} have been used, and one is never used twice",
-                self.last_id
+                "member {id} cannot be added: the identity has been used, and one is never used twice"
             )));
         }
         if self.voters.len() + self.learners.len() >= MAX_VOTERS {
@@ -97,7 +95,6 @@
                 "the group already has {MAX_VOTERS} members"
             )));
         }
-        self.last_id = id;
         self.learners.insert(id, addr);
         Ok(())
     }
@@ -113,6 +110,7 @@
 
     fn remove(&mut self, id: Id) -> Result<()> {
         if self.learners.remove(&id).is_some() {
+            self.removed.insert(id);
             return Ok(());
         }
         if self.voters.len() == 1 && self.votes(id) {
@@ -120,8 +118,9 @@
         }
         self.voters
             .remove(&id)
-            .map(|_addr| ())
-            .ok_or_else(|| invalid(format!("member {id} does not exist")))
+            .ok_or_else(|| invalid(format!("member {id} does not exist")))?;
+        self.removed.insert(id);
+        Ok(())
     }
 }
 
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -12,6 +12,8 @@
 mod error;
 #[path = "tests/group.rs"]
 mod group;
+#[path = "tests/join.rs"]
+mod join;
 #[path = "tests/limit.rs"]
 mod limit;
 #[path = "tests/raft.rs"]
