--- a/src/control/flow.rs
+++ b/src/control/flow.rs
@@ -138,8 +138,8 @@
         !self.fresh.is_empty()
     }
 
-    /// Answers those who waited for the log, and agents that have new orders.
-    pub fn applied(&mut self, book: &Book, index: Index) {
+    /// Answers those who waited for the log.
+    pub fn applied(&mut self, index: Index) {
         let all = std::mem::take(&mut self.waiters);
         let (done, open): (Vec<Waiter>, Vec<Waiter>) =
             all.into_iter().partition(|waiter| waiter.index <= index);
@@ -147,10 +147,10 @@
         for waiter in done {
             waiter.reply.send(Frame::FlowReply(waiter.answer));
         }
-        self.serve(book, index);
     }
 
-    /// Answers polls that have something new, or whose time is up.
+    /// Answers polls that have something new, or whose time is up; only while this member holds its
+    /// lease as the leader, as each answer is a grant.
     pub fn serve(&mut self, book: &Book, index: Index) {
         let now = clock::mono_ms();
         for poller in std::mem::take(&mut self.pollers) {
@@ -165,14 +165,16 @@
                 self.pollers.push(poller);
                 continue;
             }
+            if key.is_some_and(|key| !self.planner.grant(now, key)) {
+                // Answered once the log holds what was decided on the worker.
+                self.pollers.push(poller);
+                continue;
+            }
             let orders = Orders {
                 token: self.token,
                 members: self.members.clone(),
                 ..book.orders(index, &poller.poll)
             };
-            if let Some(key) = key {
-                self.planner.granted(now, key);
-            }
             poller
                 .reply
                 .send(Frame::FlowReply(Reply::Orders(Box::new(orders))));
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -160,7 +160,8 @@
         }
         self.decide();
         self.reconcile();
-        if let Some(duty) = &mut self.duty {
+        let leased = self.node.has_lease();
+        if let Some(duty) = self.duty.as_mut().filter(|_duty| leased) {
             duty.serve(self.ledger.flow(), self.ledger.applied());
         }
         self.expire_awaiters();
@@ -371,7 +372,7 @@
         let last = self.node.last_index();
         if let Some(duty) = self.duty.as_mut().filter(|duty| duty.is_pressed()) {
             duty.proposed(last);
-            duty.applied(self.ledger.flow(), self.ledger.applied());
+            duty.applied(self.ledger.applied());
         }
     }
 
@@ -541,8 +542,12 @@
         if let Some(leader) = &mut self.leader {
             leader.applied(&self.ledger, &touched);
         }
+        let leased = self.node.has_lease();
         if let Some(duty) = &mut self.duty {
-            duty.applied(self.ledger.flow(), index);
+            duty.applied(index);
+            if leased {
+                duty.serve(self.ledger.flow(), index);
+            }
         }
         for job in &touched.jobs {
             self.serve_awaiters(*job);
--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -194,19 +194,21 @@
     /// Takes what the worker says of itself. Words of an earlier incarnation, or that were
     /// overtaken, change nothing.
     pub fn announce(&mut self, now: Millis, announcement: Announcement) {
-        if let Some(worker) = &self.worker {
-            let same = worker.info.name == announcement.info.name
-                && worker.info.born == announcement.info.born;
-            if same && announcement.sequence <= worker.sequence {
-                return;
+        let info = &announcement.info;
+        match self.incarnation() {
+            Some((name, born)) if name == info.name && born == info.born => {
+                let worker = self.worker.as_ref();
+                if worker.is_some_and(|worker| announcement.sequence <= worker.sequence) {
+                    return;
+                }
             }
-            if !same && announcement.info.born < worker.info.born && self.is_answering(now) {
-                log::info!(worker = announcement.info.name; "an earlier incarnation's word came late");
+            Some((_name, born)) if info.born < born && self.is_answering(now) => {
+                log::info!(worker = info.name; "an earlier incarnation's word came late");
                 return;
             }
-            if !same {
-                self.forget();
-            }
+            // Orders for the incarnation before, also those expected after a restart, are void.
+            Some(_other) => self.forget(),
+            None => {}
         }
         if let Some(clock_ms) = announcement.clock_ms {
             self.read_clock(now, clock_ms);
--- a/src/flow/book.rs
+++ b/src/flow/book.rs
@@ -48,6 +48,8 @@
     Stalled,
     /// Its worker is leaving.
     Leaving,
+    /// An earlier run, of a worker that had been given up, turned out to be done.
+    Superseded,
 }
 
 /// A worker as its agent announces it.
@@ -123,8 +125,8 @@
     pub tasks: u32,
     /// Number of the last run; never used again, whatever became of it.
     pub run: u32,
-    /// Runs that failed.
-    pub failures: u32,
+    /// Numbers of the runs that failed.
+    pub failed: BTreeSet<u32>,
     /// Latest checkpoint, empty for none.
     pub checkpoint: String,
     pub running: Option<Running>,
--- a/src/flow/book/apply.rs
+++ b/src/flow/book/apply.rs
@@ -218,7 +218,8 @@
         let Some(unit) = self.unit_mut(id) else {
             return;
         };
-        if unit.run != run.number {
+        if run.number < unit.run {
+            self.ended_late(index, now, id, run, end);
             return;
         }
         let position = (run.task.index - id.first) as usize;
@@ -267,11 +268,11 @@
         let done = unit.done;
         if running.is_over() {
             if running.has(End::Failed) && !done && !lasting {
-                unit.failures += 1;
+                unit.failed.insert(unit.run);
             }
             unit.running = None;
             unit.ready_ms = now;
-            let exhausted = unit.failures >= max_attempts;
+            let exhausted = unit.failed.len() as u32 >= max_attempts;
             self.active.remove(&id);
             if exhausted && !done {
                 self.end_job(index, now, id.job, State::Failed);
@@ -285,6 +286,35 @@
         }
     }
 
+    /// Takes the end of an earlier run, on a worker that had been given up and has come back: its
+    /// work counts, and so does its failure.
+    fn ended_late(&mut self, index: Index, now: Millis, id: UnitId, run: Run, end: End) {
+        let Some((job, step)) = self.step(id) else {
+            return;
+        };
+        let max_attempts = job.queue.max_attempts.max(1);
+        let lasting = step.lasting;
+        let Some(unit) = self.unit_mut(id).filter(|unit| !unit.done && !lasting) else {
+            return;
+        };
+        match end {
+            End::Done => {
+                unit.done = true;
+                self.ready.remove(&id);
+                self.stop(index, id, Cause::Superseded);
+                self.refresh_ready(now, id.job, id.occurrence);
+                self.complete(now, id.job);
+            }
+            End::Failed => {
+                unit.failed.insert(run.number);
+                if unit.failed.len() as u32 >= max_attempts {
+                    self.end_job(index, now, id.job, State::Failed);
+                }
+            }
+            End::Stopped | End::Lapsed | End::Broken | End::Alone | End::Absent => {}
+        }
+    }
+
     fn complete(&mut self, now: Millis, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
--- a/src/flow/planner.rs
+++ b/src/flow/planner.rs
@@ -226,13 +226,18 @@
         }
     }
 
-    /// Notes that an agent was given its orders, and with them a new grant.
-    pub fn granted(&mut self, now: Millis, worker: WorkerKey) {
+    /// Notes that an agent is given its orders, and with them a new grant; tells whether it may be.
+    /// A worker that has been given up must not get one, though the log may not say so yet.
+    pub fn grant(&mut self, now: Millis, worker: WorkerKey) -> bool {
+        if self.ahead.worker(worker).is_none() {
+            return false;
+        }
         self.now = self.now.max(now);
         let until_ms = self.grant_end();
         let seen = self.seen.entry(worker).or_default();
         seen.until_ms = seen.until_ms.max(until_ms);
         seen.heard_ms = seen.heard_ms.max(now);
+        true
     }
 
     /// Takes what an agent knows of its worker.
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -10,6 +10,8 @@
 mod election;
 #[path = "tests/error.rs"]
 mod error;
+#[path = "tests/flow.rs"]
+mod flow;
 #[path = "tests/group.rs"]
 mod group;
 #[path = "tests/join.rs"]
