--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -40,6 +40,8 @@
     /// Members to ask; never empty.
     members: Vec<SocketAddr>,
     leader: Option<SocketAddr>,
+    /// When the leader answered last.
+    heard: Option<Instant>,
     budget: limit::Budget,
 }
 
@@ -51,6 +53,7 @@
             next: 0,
             members,
             leader: None,
+            heard: None,
             budget,
         }));
         Self { transport, shared }
@@ -78,6 +81,12 @@
         }
     }
 
+    /// Whether the leader has answered within a time.
+    pub fn is_near(&self, within: Duration) -> bool {
+        let heard = self.shared().heard;
+        heard.is_some_and(|heard| heard.elapsed() < within)
+    }
+
     /// The transport underneath.
     pub fn transport(&self) -> &transport::Transport {
         &self.transport
@@ -117,6 +126,7 @@
                 result => {
                     let mut shared = self.shared();
                     shared.leader = Some(addr);
+                    shared.heard = Some(Instant::now());
                     shared.budget.succeed();
                     return result;
                 }
