--- a/examples/commit.rs
+++ b/examples/commit.rs
@@ -30,7 +30,7 @@
 const TOKEN: &str = "operator-commit";
 
 fn main() -> anyhow::Result<()> {
-    telemetry::init("commit", "commit", "error");
+    telemetry::init("commit", "commit", "error", telemetry::Output::Stderr);
     for delay_us in DELAYS_US {
         measure(Duration::from_micros(delay_us))?;
     }
--- a/examples/load.rs
+++ b/examples/load.rs
@@ -56,7 +56,7 @@
 
 fn main() -> anyhow::Result<()> {
     let args = Args::parse();
-    telemetry::init("load", "load", "error");
+    telemetry::init("load", "load", "error", telemetry::Output::Stderr);
     let scratch = Scratch::new("load")?;
     let dir = scratch.path().join("config");
     std::fs::create_dir_all(&dir)?;
--- a/examples/spread.rs
+++ b/examples/spread.rs
@@ -25,7 +25,7 @@
 const TICKS_PER_S: f64 = 100.0;
 
 fn main() -> anyhow::Result<()> {
-    telemetry::init("spread", "spread", "error");
+    telemetry::init("spread", "spread", "error", telemetry::Output::Stderr);
     let scratch = Scratch::new("spread")?;
     let dir = scratch.path().join("config");
     std::fs::create_dir_all(&dir)?;
--- a/src/agent/answers.rs
+++ b/src/agent/answers.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::platform::client;
+use crate::backend::client;
 use crate::sched::JobId;
 use crate::wire::frame;
 
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -13,10 +13,10 @@
 
 use crate::agent::answers;
 use crate::agent::gang::{Ending, Gang, Stage};
+use crate::backend::{self, Op, Outcomes, client};
 use crate::error;
 use crate::ledger;
 use crate::map;
-use crate::platform::{self, Op, Outcomes, client};
 use crate::raft::Index;
 use crate::sched::JobId;
 use crate::sched::event;
@@ -61,13 +61,13 @@
     Leased {
         worker: fleet::Key,
         ops: Vec<Op>,
-        result: platform::Result<Outcomes>,
+        result: backend::Result<Outcomes>,
     },
     /// The outcome of a dispatch.
     Answered {
         job: JobId,
         attempt: u32,
-        result: platform::Result<client::Reply>,
+        result: backend::Result<client::Reply>,
     },
     /// Someone wants a part of an answer; the tag names it.
     Collect {
@@ -78,7 +78,7 @@
         wait_ms: u64,
     },
     /// The target has announced itself.
-    Target(platform::TargetNews),
+    Target(backend::TargetNews),
     /// The leader has recorded a finish.
     Acknowledged {
         job: JobId,
@@ -112,7 +112,7 @@
 
 #[derive(Debug)]
 struct Target {
-    news: platform::TargetNews,
+    news: backend::TargetNews,
     heard_ms: u64,
 }
 
@@ -237,7 +237,7 @@
         })
     }
 
-    fn on_target(&mut self, news: platform::TargetNews) {
+    fn on_target(&mut self, news: backend::TargetNews) {
         self.target = Some(Target {
             news,
             heard_ms: self.now,
@@ -276,7 +276,7 @@
         self.release(job);
     }
 
-    fn on_answered(&mut self, job: JobId, attempt: u32, result: platform::Result<client::Reply>) {
+    fn on_answered(&mut self, job: JobId, attempt: u32, result: backend::Result<client::Reply>) {
         self.dispatched.remove(&(job, attempt));
         let current = self
             .gangs
--- a/src/agent/core/grant.rs
+++ b/src/agent/core/grant.rs
@@ -2,10 +2,10 @@
 
 use crate::agent::core::Core;
 use crate::agent::gang::{Ending, Gang, Stage};
+use crate::backend::Verb;
 use crate::error;
 use crate::ledger;
 use crate::map;
-use crate::platform::Verb;
 use crate::raft::Index;
 use crate::sched::JobId;
 use crate::sched::event;
--- a/src/agent/core/lease.rs
+++ b/src/agent/core/lease.rs
@@ -6,8 +6,8 @@
 
 use crate::agent::core::{Core, DRIFT_MS, Effect, GATHER_MS, Order, RENEWALS};
 use crate::agent::gang::{self, Gang, Lease, Stage};
+use crate::backend::{self, Op, Outcomes, Refusal, Verb, client};
 use crate::error;
-use crate::platform::{self, Op, Outcomes, Refusal, Verb, client};
 use crate::sched::JobId;
 use crate::sched::event;
 use crate::sched::fleet;
@@ -51,7 +51,7 @@
         &mut self,
         worker: fleet::Key,
         ops: &[Op],
-        result: &platform::Result<Outcomes>,
+        result: &backend::Result<Outcomes>,
     ) {
         for (at, op) in ops.iter().enumerate() {
             let current = self
--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -9,11 +9,11 @@
 
 use crate::agent::answers;
 use crate::agent::core::{self, Core, Effect, Event};
+use crate::backend::client::{self, Backend};
+use crate::backend::{self, Ops};
 use crate::clock;
 use crate::control::group;
 use crate::error;
-use crate::platform::client::{self, Platform};
-use crate::platform::{self, Ops};
 use crate::raft::Index;
 use crate::roster;
 use crate::serve;
@@ -95,7 +95,7 @@
     let roster: Arc<Mutex<roster::Roster>> = Arc::default();
     let extra: Arc<Mutex<uplink::Extra>> = Arc::default();
     let idle = Arc::new(Mutex::new(true));
-    let platform = client::Client::new(options.connections);
+    let backend = client::Client::new(options.connections);
     let gate: Arc<serve::Gate> = Arc::default();
     let handler = Arc::new(Service {
         inputs: inputs.clone(),
@@ -111,8 +111,8 @@
         answers: options.answers,
     });
     let hands = Hands {
-        leases: lease_pool(&options.name, &platform, &inputs)?,
-        dispatches: dispatch_pool(options, &platform, &inputs)?,
+        leases: lease_pool(&options.name, &backend, &inputs)?,
+        dispatches: dispatch_pool(options, &backend, &inputs)?,
         finishes: finish_pool(&group, &inputs)?,
         inputs: inputs.clone(),
     };
@@ -287,20 +287,20 @@
 
 fn lease_pool(
     name: &str,
-    platform: &client::Client,
+    backend: &client::Client,
     inputs: &channel::Sender<Event>,
 ) -> error::Result<channel::Sender<core::Order>> {
     let (ring, work) = channel::bounded(RING);
     for _thread in 0..LEASE_THREADS {
         let work: channel::Receiver<core::Order> = work.clone();
-        let (platform, inputs, holder) = (platform.clone(), inputs.clone(), name.to_owned());
+        let (backend, inputs, holder) = (backend.clone(), inputs.clone(), name.to_owned());
         uplink::spawn("lease", move || {
             for core::Order { worker, addr, ops } in work {
                 let message = Ops {
                     holder: holder.clone(),
                     ops,
                 };
-                let result = platform.lease(addr, &message);
+                let result = backend.lease(addr, &message);
                 count_leases(&message, &result);
                 if inputs
                     .send(Event::Leased {
@@ -318,7 +318,7 @@
     Ok(ring)
 }
 
-fn count_leases(message: &Ops, result: &platform::Result<platform::Outcomes>) {
+fn count_leases(message: &Ops, result: &backend::Result<backend::Outcomes>) {
     for (at, op) in message.ops.iter().enumerate() {
         let outcome = match result {
             Ok(outcomes) => match outcomes.outcomes.get(at).map(|done| done.refusal) {
@@ -337,17 +337,17 @@
 
 fn dispatch_pool(
     options: &Options,
-    platform: &client::Client,
+    backend: &client::Client,
     inputs: &channel::Sender<Event>,
 ) -> error::Result<channel::Sender<client::Dispatch>> {
     let (ring, work) = channel::bounded(options.connections);
     for _thread in 0..options.connections {
         let work: channel::Receiver<client::Dispatch> = work.clone();
-        let (platform, inputs) = (platform.clone(), inputs.clone());
+        let (backend, inputs) = (backend.clone(), inputs.clone());
         let max_bytes = options.max_answer_bytes;
         uplink::spawn("dispatch", move || {
             for dispatch in work {
-                let result = platform.dispatch(&dispatch, max_bytes);
+                let result = backend.dispatch(&dispatch, max_bytes);
                 let (job, attempt) = (dispatch.job, dispatch.attempt);
                 if result
                     .as_ref()
@@ -412,7 +412,7 @@
 
 impl serve::Handler for Service {
     fn max_body_bytes(&self) -> usize {
-        platform::MAX_JSON_BYTES as usize
+        backend::MAX_JSON_BYTES as usize
     }
 
     fn handle(&self, request: &serve::Request) -> serve::Response {
@@ -450,7 +450,7 @@
 /// # Errors
 /// `Malformed`, or `Overloaded` when too many workers announce themselves here.
 pub fn hear_worker(request: &serve::Request, roster: &Mutex<roster::Roster>) -> error::Result<()> {
-    let news: platform::WorkerNews = serve::read_json(request)?;
+    let news: backend::WorkerNews = serve::read_json(request)?;
     let mut roster = roster.lock().unwrap_or_else(PoisonError::into_inner);
     if roster.hear(clock::mono_ms(), news) {
         return Ok(());
--- a/src/agent/gang.rs
+++ b/src/agent/gang.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use crate::backend::{self, Op, Refusal, Verb};
 use crate::error;
 use crate::ledger;
-use crate::platform::{self, Op, Refusal, Verb};
 use crate::sched::event;
 use crate::sched::fleet;
 use crate::wire::frame;
@@ -171,7 +171,7 @@
 
     /// Term of its leases.
     pub fn lease_ms(&self) -> u64 {
-        platform::lease_ms(self.members.len())
+        backend::lease_ms(self.members.len())
     }
 
     /// Names of the workers, for the target.
--- a/src/platform.rs
+++ b/src/backend.rs
@@ -1,4 +1,4 @@
-//! The platform's side: workers that run tasks under leases, targets that answer requests.
+//! The back-end interface: workers that run tasks under leases, targets that answer requests.
 //!
 //! Both speak HTTP with JSON bodies. A worker takes a list of lease operations in one message, so
 //! that renewing everything it holds costs one message. Bodies are bounded on both sides.
@@ -14,10 +14,10 @@
 use crate::config;
 use crate::error;
 
-/// Result of talking to the platform.
+/// Result of talking to workers and targets.
 pub type Result<T> = error::Result<T>;
 
-/// Largest JSON body of the platform's messages.
+/// Largest JSON body of their messages.
 pub const MAX_JSON_BYTES: u64 = 1 << 20;
 
 /// Header that names the request towards a target, which must echo it.
--- a/src/platform/client.rs
+++ b/src/backend/client.rs
@@ -7,8 +7,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::backend::{self, Ops, Outcomes, Result};
 use crate::error;
-use crate::platform::{self, Ops, Outcomes, Result};
 
 /// Time allowed for a lease message.
 const LEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -42,8 +42,8 @@
     pub body: Bytes,
 }
 
-/// What agents and stand-ins need of the platform; a fake stands in for it in tests.
-pub trait Platform: Clone + Send + 'static {
+/// What agents and stand-ins need of workers and targets; a fake stands in for it in tests.
+pub trait Backend: Clone + Send + 'static {
     /// Sends lease operations to a worker.
     ///
     /// # Errors
@@ -58,7 +58,7 @@
     fn dispatch(&self, dispatch: &Dispatch, max_bytes: u64) -> Result<Reply>;
 }
 
-/// The platform over HTTP; clones share connections.
+/// Workers and targets over HTTP; clones share connections.
 #[derive(Clone, Debug)]
 pub struct Client {
     agent: ureq::Agent,
@@ -109,7 +109,7 @@
         let limited = answer
             .body_mut()
             .with_config()
-            .limit(platform::MAX_JSON_BYTES);
+            .limit(backend::MAX_JSON_BYTES);
         let text = limited
             .read_to_vec()
             .map_err(|err| failed(err.to_string()))?;
@@ -130,7 +130,7 @@
     }
 }
 
-impl Platform for Client {
+impl Backend for Client {
     fn lease(&self, worker: SocketAddr, ops: &Ops) -> Result<Outcomes> {
         self.post(&format!("http://{worker}/v1/leases"), ops, LEASE_TIMEOUT)
     }
@@ -145,12 +145,12 @@
         let answer = request
             .build()
             .content_type(&dispatch.content_type)
-            .header(platform::REQUEST_HEADER, dispatch.job.to_string())
-            .header(platform::ATTEMPT_HEADER, dispatch.attempt.to_string())
-            .header(platform::ACCOUNT_HEADER, &dispatch.account)
-            .header(platform::GANG_HEADER, &dispatch.gang)
+            .header(backend::REQUEST_HEADER, dispatch.job.to_string())
+            .header(backend::ATTEMPT_HEADER, dispatch.attempt.to_string())
+            .header(backend::ACCOUNT_HEADER, &dispatch.account)
+            .header(backend::GANG_HEADER, &dispatch.gang)
             .header(
-                platform::REMAINING_HEADER,
+                backend::REMAINING_HEADER,
                 dispatch.remaining.as_millis().to_string(),
             )
             .send(&*dispatch.body);
@@ -181,8 +181,8 @@
 
 /// Refuses an answer that belongs to another request or attempt.
 fn check_echo(dispatch: &Dispatch, headers: &ureq::http::HeaderMap) -> Result<()> {
-    let request = header(headers, platform::REQUEST_HEADER);
-    let attempt = header(headers, platform::ATTEMPT_HEADER);
+    let request = header(headers, backend::REQUEST_HEADER);
+    let attempt = header(headers, backend::ATTEMPT_HEADER);
     let own = request.as_deref() == Some(&*dispatch.job.to_string())
         && attempt.as_deref() == Some(&*dispatch.attempt.to_string());
     if own {
--- a/src/platform/target.rs
+++ b/src/backend/target.rs
@@ -7,9 +7,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::backend::{self, Result, client};
 use crate::error;
 use crate::map;
-use crate::platform::{self, Result, client};
 use crate::serve;
 
 /// Interval of announcements.
@@ -169,15 +169,15 @@
         }
         let name = |header: &str| serve::header(request, header).map(Option::unwrap_or_default);
         let (id, attempt) = (
-            name(platform::REQUEST_HEADER)?,
-            name(platform::ATTEMPT_HEADER)?,
+            name(backend::REQUEST_HEADER)?,
+            name(backend::ATTEMPT_HEADER)?,
         );
         let path = request.uri().path();
         let answer = Answer {
             service: path.rsplit('/').next().unwrap_or_default(),
             request: id,
-            account: name(platform::ACCOUNT_HEADER)?,
-            gang: name(platform::GANG_HEADER)?.split(',').collect(),
+            account: name(backend::ACCOUNT_HEADER)?,
+            gang: name(backend::GANG_HEADER)?.split(',').collect(),
             done_by: &self.0.options.name,
         };
         let mut response = match script.bytes {
@@ -195,8 +195,8 @@
             id
         };
         let headers = [
-            (platform::REQUEST_HEADER, echoed),
-            (platform::ATTEMPT_HEADER, attempt),
+            (backend::REQUEST_HEADER, echoed),
+            (backend::ATTEMPT_HEADER, attempt),
         ];
         for (header, value) in headers {
             serve::insert(&mut response, header, value);
@@ -243,7 +243,7 @@
     loop {
         let (ready, leaving, announces) =
             *state.news.lock().unwrap_or_else(PoisonError::into_inner);
-        let news = platform::TargetNews {
+        let news = backend::TargetNews {
             name: options.name.clone(),
             addr,
             services: options.services.clone(),
--- a/src/platform/worker.rs
+++ b/src/backend/worker.rs
@@ -6,10 +6,10 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::backend::{self, Done, Held, Op, Ops, Outcomes, Refusal, Result, Verb, client};
 use crate::clock;
 use crate::config::Resources;
 use crate::error;
-use crate::platform::{self, Done, Held, Op, Ops, Outcomes, Refusal, Result, Verb, client};
 use crate::serve;
 
 /// Ended jobs whose tokens are remembered for fencing.
@@ -219,7 +219,7 @@
 
 impl serve::Handler for Service {
     fn max_body_bytes(&self) -> usize {
-        platform::MAX_JSON_BYTES as usize
+        backend::MAX_JSON_BYTES as usize
     }
 
     fn handle(&self, request: &serve::Request) -> serve::Response {
@@ -257,7 +257,7 @@
             });
             held.collect()
         };
-        let news = platform::WorkerNews {
+        let news = backend::WorkerNews {
             name: options.name.clone(),
             addr,
             region: options.region.clone(),
--- a/src/bin/oriolereel-agent.rs
+++ b/src/bin/oriolereel-agent.rs
@@ -17,7 +17,12 @@
 
 fn main() -> anyhow::Result<()> {
     let args = Args::parse().settings;
-    telemetry::init("agent", &args.common.name, &args.common.log);
+    telemetry::init(
+        "agent",
+        &args.common.name,
+        &args.common.log,
+        telemetry::Output::Stdout,
+    );
     let agent = daemon::start(&args.options()).context("the agent cannot start")?;
     settings::wait_for_signal(|| true);
     let drained = agent.stop(Duration::from_secs(args.common.grace_s));
--- a/src/bin/oriolereel-control.rs
+++ b/src/bin/oriolereel-control.rs
@@ -16,7 +16,12 @@
 
 fn main() -> anyhow::Result<()> {
     let args = Args::parse().settings;
-    telemetry::init("control", &args.common.name, &args.common.log);
+    telemetry::init(
+        "control",
+        &args.common.name,
+        &args.common.log,
+        telemetry::Output::Stdout,
+    );
     let member = daemon::start(args.options()).context("the control member cannot start")?;
     let mut failure = None;
     settings::wait_for_signal(|| member.failure().is_none());
--- a/src/bin/oriolereel-entry.rs
+++ b/src/bin/oriolereel-entry.rs
@@ -17,7 +17,12 @@
 
 fn main() -> anyhow::Result<()> {
     let args = Args::parse().settings;
-    telemetry::init("entry", &args.common.name, &args.common.log);
+    telemetry::init(
+        "entry",
+        &args.common.name,
+        &args.common.log,
+        telemetry::Output::Stdout,
+    );
     let entry = daemon::start(&args.options()).context("the entry cannot start")?;
     settings::wait_for_signal(|| true);
     let drained = entry.stop(Duration::from_secs(args.common.grace_s));
--- a/src/command/demo.rs
+++ b/src/command/demo.rs
@@ -73,7 +73,7 @@
 /// # Errors
 /// When the system cannot start, or an answer was lost or doubled.
 pub fn run(args: &Args) -> Result<()> {
-    telemetry::init("demo", "demo", &args.log);
+    telemetry::init("demo", "demo", &args.log, telemetry::Output::Stderr);
     let mut totals = Totals::default();
     for example in &args.examples {
         play(example, args.members, &mut totals)
--- a/src/command/dev.rs
+++ b/src/command/dev.rs
@@ -39,7 +39,7 @@
 /// # Errors
 /// When the system cannot start.
 pub fn run(args: &Args) -> Result<()> {
-    telemetry::init("dev", "dev", &args.log);
+    telemetry::init("dev", "dev", &args.log, telemetry::Output::Stderr);
     let scratch = Scratch::new("dev")?;
     let data = args.data.as_deref().unwrap_or(scratch.path());
     let system = dev::System::start(&dev::Options {
--- a/src/command/standin.rs
+++ b/src/command/standin.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::backend::{target, worker};
 use crate::command::Result;
 use crate::config;
-use crate::platform::{target, worker};
 use crate::{settings, telemetry};
 
 /// One line for the list of commands.
@@ -101,7 +101,7 @@
 /// # Errors
 /// When the address is taken.
 pub fn run(args: &Args) -> Result<()> {
-    telemetry::init("standin", "standin", "warn");
+    telemetry::init("standin", "standin", "warn", telemetry::Output::Stdout);
     match &args.kind {
         Kind::Worker(args) => start_worker(args)?,
         Kind::Target(args) => start_target(args)?,
--- a/src/control/leader/fleet.rs
+++ b/src/control/leader/fleet.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use crate::backend;
 use crate::control::leader::{Heard, Leader};
 use crate::ledger::{self, Command, Ledger};
-use crate::platform;
 use crate::sched::event::{self, Event};
 use crate::sched::fleet;
 use crate::sched::{JobId, Millis};
@@ -244,5 +244,5 @@
 
 /// Longest that the workers' leases of a grant can outlive its agent.
 fn leases_over_ms(grant: &ledger::Grant) -> Millis {
-    platform::lease_ms(grant.placement.members.len()) + LEASE_MARGIN_MS
+    backend::lease_ms(grant.placement.members.len()) + LEASE_MARGIN_MS
 }
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -11,13 +11,13 @@
 
 use crate::agent;
 use crate::agent::answers;
+use crate::backend::{target, worker};
 use crate::config;
 use crate::config::parse;
 use crate::console;
 use crate::control;
 use crate::entry;
 use crate::error;
-use crate::platform::{target, worker};
 
 /// Result of starting.
 pub type Result<T> = error::Result<T>;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! oriolereel schedules multi-accelerator jobs under client account guarantees.
 
 pub mod agent;
+pub mod backend;
 pub mod clock;
 pub mod command;
 pub mod config;
@@ -14,7 +15,6 @@
 pub mod ledger;
 pub mod limit;
 pub mod map;
-pub mod platform;
 pub mod query;
 pub mod raft;
 pub mod report;
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -1,7 +1,7 @@
 //! Workers heard by an entry or agent, summed up for the leader.
 
+use crate::backend;
 use crate::map;
-use crate::platform;
 use crate::wire::frame;
 
 /// Silence after which a worker counts as gone.
@@ -26,7 +26,7 @@
 
 impl Roster {
     /// Takes an announcement; false when there is no room for another worker.
-    pub fn hear(&mut self, now: u64, news: platform::WorkerNews) -> bool {
+    pub fn hear(&mut self, now: u64, news: backend::WorkerNews) -> bool {
         if self.workers.len() >= MAX_WORKERS && !self.workers.contains_key(&news.name) {
             return false;
         }
@@ -88,8 +88,8 @@
     }
 }
 
-fn convert(news: platform::WorkerNews) -> frame::Worker {
-    let lease = |held: &platform::Held| frame::Lease {
+fn convert(news: backend::WorkerNews) -> frame::Worker {
+    let lease = |held: &backend::Held| frame::Lease {
         job: held.job,
         token: held.token,
         memory_gb: held.memory_gb,
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 use std::sync::LazyLock;
 
+use crossbeam::channel;
 use log::kv;
 use prometheus::{
     Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -11,11 +12,28 @@
 
 static REGISTRY: LazyLock<Registry> = LazyLock::new(Registry::new);
 
-/// Starts logging as JSON lines to standard error.
-pub fn init(role: &'static str, instance: &str, filter: &str) {
+/// Lines that may wait for a reader of the log; more are dropped and counted.
+const LOG_RING: usize = 4_096;
+
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// For daemons; never blocks.
+    Stdout,
+    /// For commands, whose results go to standard output.
+    Stderr,
+}
+
+/// Starts logging as JSON lines.
+pub fn init(role: &'static str, instance: &str, filter: &str, output: Output) {
     let instance = instance.to_owned();
+    let target = match output {
+        Output::Stdout => env_logger::Target::Pipe(Box::new(Ring::start(std::io::stdout()))),
+        Output::Stderr => env_logger::Target::Stderr,
+    };
     let started = env_logger::Builder::new()
         .parse_filters(filter)
+        .target(target)
         .format(move |out, record| {
             let line = render_line(role, &instance, record);
             writeln!(out, "{line}")
@@ -27,6 +45,44 @@
     }
 }
 
+/// Hands lines to a thread that writes them, so that a reader that has stopped holds up nobody.
+#[derive(Debug)]
+pub struct Ring {
+    lines: channel::Sender<Vec<u8>>,
+}
+
+impl Ring {
+    /// Starts the thread; it writes to `out` until the ring is dropped.
+    pub fn start(mut out: impl Write + Send + 'static) -> Self {
+        let (lines, queue) = channel::bounded::<Vec<u8>>(LOG_RING);
+        let spawned = std::thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || {
+                for line in queue {
+                    // Nobody is left to be told of a log that cannot be written.
+                    if out.write_all(&line).and_then(|()| out.flush()).is_err() {
+                        return;
+                    }
+                }
+            });
+        drop(spawned);
+        Self { lines }
+    }
+}
+
+impl Write for Ring {
+    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        if self.lines.try_send(line.to_vec()).is_err() {
+            LOG_DROPPED.inc();
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Renders a record as one JSON object.
 fn render_line(role: &str, instance: &str, record: &log::Record<'_>) -> String {
     let mut line = serde_json::Map::new();
@@ -113,6 +169,14 @@
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 30.0,
 ];
 
+/// Log lines dropped because their reader was behind.
+pub static LOG_DROPPED: LazyLock<IntCounter> = LazyLock::new(|| {
+    counter(
+        "oriolereel_log_lines_dropped_total",
+        "Log lines dropped because their reader was behind",
+    )
+});
+
 /// Requests answered by an entry, by kind of answer.
 pub static REQUESTS: LazyLock<IntCounterVec> = LazyLock::new(|| {
     counters(
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -32,5 +32,7 @@
 mod support;
 #[path = "tests/system.rs"]
 mod system;
+#[path = "tests/telemetry.rs"]
+mod telemetry;
 #[path = "tests/uplink.rs"]
 mod uplink;
--- a/tests/tests/cluster.rs
+++ b/tests/tests/cluster.rs
@@ -7,10 +7,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use oriolereel::backend::{target, worker};
 use oriolereel::config::Resources;
 use oriolereel::console::{self, Console};
 use oriolereel::dev;
-use oriolereel::platform::{target, worker};
 use serde_json::{Value, json};
 
 /// Time within which everything is to happen; generous, as machines are slow at times.
--- a/tests/tests/delivery.rs
+++ b/tests/tests/delivery.rs
@@ -5,14 +5,14 @@
 
 use oriolereel::agent::answers;
 use oriolereel::agent::core::{Core, Effect, Event, Options, Order};
+use oriolereel::backend::{Op, Outcomes, TargetNews, client, worker};
 use oriolereel::config::Resources;
 use oriolereel::error::{self, Kind, Ran};
 use oriolereel::ledger;
-use oriolereel::platform::{Op, Outcomes, TargetNews, client, worker};
 use oriolereel::sched::event::{self, End};
 use oriolereel::sched::fleet;
 use oriolereel::wire::frame::{self, Frame};
-use oriolereel::{dev, platform};
+use oriolereel::{backend, dev};
 use proptest::prelude::*;
 
 const WORKERS: u32 = 3;
@@ -26,7 +26,7 @@
     cpus: 1,
     memory_gb: 1,
 };
-const LEASE_MS: u64 = platform::lease_ms(WORKERS as usize);
+const LEASE_MS: u64 = backend::lease_ms(WORKERS as usize);
 
 /// A lease message on its way to a worker, or its answer on the way back.
 #[derive(Debug)]
@@ -314,7 +314,7 @@
         }
         let (job, attempt) = (dispatch.job, dispatch.attempt);
         let fault = |kind, ran| Err(error::Error::new(kind, "fault").with_ran(ran));
-        let result: platform::Result<client::Reply> = match how {
+        let result: backend::Result<client::Reply> = match how {
             0 => fault(Kind::AnswerInvalid, Ran::Yes),
             1 => fault(Kind::Unreachable, Ran::No),
             2 => fault(Kind::Deadline, Ran::Unknown),
