--- a/src/control/join.rs
+++ b/src/control/join.rs
@@ -49,7 +49,7 @@
             .filter(|(ms, _id)| *ms >= GONE_MS)
             .map(|(_ms, id)| id);
         // Beyond an odd number a silent member only makes the quorum larger.
-        let even = members.voters.len() % 2 == 0;
+        let even = members.voters.len().is_multiple_of(2);
         let small = members.voters.len() <= SMALL_GROUP;
         let limit_ms = if small { GONE_MS } else { LONG_GONE_MS };
         if let Some((_ms, id)) = silent.filter(|(ms, _id)| even && *ms >= limit_ms) {
--- a/src/flow/place.rs
+++ b/src/flow/place.rs
@@ -47,6 +47,9 @@
     pub doubtful: bool,
 }
 
+/// Place of an offer in the order; the least comes first.
+type Order = (bool, u64, u64, WorkerKey);
+
 impl Offer<'_> {
     fn admits(&self, ask: &Ask<'_>) -> bool {
         let label = ask.step.label.as_ref();
@@ -68,13 +71,8 @@
     }
 
     /// Full workers first, so that whole ones stay free for wide tasks.
-    fn order(&self) -> (bool, u64, u64, WorkerKey) {
-        (
-            self.doubtful,
-            self.free.accelerators,
-            self.free.millicpus,
-            self.key,
-        )
+    fn order(&self, free: &Amount) -> Order {
+        (self.doubtful, free.accelerators, free.millicpus, self.key)
     }
 }
 
@@ -131,7 +129,7 @@
     if room < u64::from(ask.tasks) {
         return None;
     }
-    fitting.sort_by_key(|(offer, _places)| offer.order());
+    fitting.sort_by_key(|(offer, _places)| offer.order(&offer.free));
     let mut keys = Vec::new();
     let mut left = 0;
     for (offer, places) in fitting {
@@ -166,6 +164,13 @@
     cost: u64,
 }
 
+/// A step towards a vacated place: what it costs, the worker's place in the order, who must go.
+struct Move {
+    price: u64,
+    order: Order,
+    chosen: Vec<usize>,
+}
+
 /// Takes the tasks one by one to where the next costs least.
 fn vacate(ask: &Ask<'_>, set: &[&Offer<'_>], victims: &[Victim]) -> Option<Vacated> {
     let mut free: map::Map<WorkerKey, Amount> = map::Map::default();
@@ -178,32 +183,22 @@
     let mut keys: Vec<WorkerKey> = Vec::new();
     let mut cost = 0;
     for _task in 0..ask.tasks {
-        let mut best: Option<(u64, (bool, u64, u64, WorkerKey), Vec<usize>)> = None;
-        for offer in set.iter().filter(|offer| offer.admits(ask)) {
-            let full = ask.step.spread > 0 && here[&offer.key] >= ask.step.spread;
-            if full {
-                continue;
-            }
-            let Some((price, chosen)) = open(ask, offer.key, &free[&offer.key], victims, &gone)
-            else {
-                continue;
-            };
-            let order = (
-                offer.doubtful,
-                free[&offer.key].accelerators,
-                free[&offer.key].millicpus,
-                offer.key,
-            );
-            if best
-                .as_ref()
-                .is_none_or(|(least, other, _chosen)| (price, &order) < (*least, other))
-            {
-                best = Some((price, order, chosen));
-            }
-        }
-        let (price, (_doubtful, _accelerators, _cpus, key), chosen) = best?;
-        cost += price;
-        for at in chosen {
+        let spread = ask.step.spread;
+        let admits =
+            |offer: &&&Offer<'_>| offer.admits(ask) && (spread == 0 || here[&offer.key] < spread);
+        let steps = set.iter().filter(admits).filter_map(|offer| {
+            let room = &free[&offer.key];
+            let (price, chosen) = open(ask, offer.key, room, victims, &gone)?;
+            let order = offer.order(room);
+            Some(Move {
+                price,
+                order,
+                chosen,
+            })
+        });
+        let best = steps.min_by_key(|step| (step.price, step.order))?;
+        cost += best.price;
+        for at in best.chosen {
             gone[at] = true;
             for (worker, amount) in &victims[at].holds {
                 if let Some(free) = free.get_mut(worker) {
@@ -211,6 +206,7 @@
                 }
             }
         }
+        let (_doubtful, _accelerators, _cpus, key) = best.order;
         if let Some(free) = free.get_mut(&key) {
             *free = free.less(&ask.step.each);
         }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -71,11 +71,11 @@
 }
 
 impl Write for Ring {
-    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
-        if self.lines.try_send(line.to_vec()).is_err() {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        if self.lines.try_send(buf.to_vec()).is_err() {
             LOG_DROPPED.inc();
         }
-        Ok(line.len())
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> std::io::Result<()> {
--- a/tests/tests/disk.rs
+++ b/tests/tests/disk.rs
@@ -30,6 +30,12 @@
     fn content(&self) -> std::sync::MutexGuard<'_, Content> {
         self.0.lock().expect("no test panics while it holds this")
     }
+
+    fn refuse(&self, writes: u32, kept_bytes: usize) {
+        let mut content = self.content();
+        content.refused = writes;
+        content.kept_bytes = kept_bytes;
+    }
 }
 
 fn full() -> error::Error {
@@ -129,11 +135,7 @@
         let (opened, _recovered) = Store::open(shared.clone(), 1).expect(case.name);
         let (done_in, done) = channel::bounded(16);
         let jobs = disk::start(opened, done_in).expect(case.name);
-        {
-            let mut content = shared.content();
-            content.refused = case.refused;
-            content.kept_bytes = case.kept_bytes;
-        }
+        shared.refuse(case.refused, case.kept_bytes);
         for index in 2..5 {
             let job = Job::Write {
                 writes: vec![Write::Append(vec![entry(index)])],
--- a/tests/tests/telemetry.rs
+++ b/tests/tests/telemetry.rs
@@ -9,10 +9,10 @@
 struct Stuck(mpsc::Receiver<()>);
 
 impl Write for Stuck {
-    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
         // An error tells that the test has ended.
         let _ended = self.0.recv();
-        Ok(bytes.len())
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> std::io::Result<()> {
