--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -1,5 +1,8 @@
 //! One member's state machine: consensus, ledger, and the leader's duty while it leads.
 
+mod group;
+mod snapshot;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -355,13 +358,6 @@
         }
     }
 
-    /// Addresses of the control members.
-    fn addresses(&self) -> Vec<SocketAddr> {
-        let members = self.node.members();
-        let all = members.voters.values().chain(members.learners.values());
-        all.copied().collect()
-    }
-
     /// Answers callers whose words need nothing new in the log once it holds what it has now.
     fn answer_pressed(&mut self) {
         let last = self.node.last_index();
@@ -371,41 +367,6 @@
         }
     }
 
-    /// Takes a member's wish for a place in the group.
-    fn join(&mut self, id: Id, addr: SocketAddr, blank: bool, reply: call::Reply) {
-        let members = self.node.members();
-        if members.addr(id).is_none() && (!blank || members.removed.contains(&id)) {
-            reply.fail(error::Error::new(
-                error::Kind::InvalidMember,
-                format!("member {id} has been removed; it must come back under a new identity"),
-            ));
-            return;
-        }
-        if members.addr(id).is_none() {
-            self.joins.ask(clock::mono_ms(), id, addr);
-        }
-        reply.send(Frame::FlowReply(message::Reply::Members(self.addresses())));
-    }
-
-    /// Brings the membership one change closer to those who are there.
-    fn reconcile(&mut self) {
-        if self.leader.is_none() {
-            return;
-        }
-        let Some(change) = self.joins.next(clock::mono_ms(), &self.node) else {
-            return;
-        };
-        log::info!("membership: {change:?}");
-        match self.node.change(clock::mono_ms(), &change) {
-            Ok((_index, effects)) => self.process(effects),
-            Err(err) => log::debug!("membership not changed yet: {err}"),
-        }
-        let addresses = self.addresses();
-        if let Some(duty) = &mut self.duty {
-            duty.set_members(addresses);
-        }
-    }
-
     fn resign(&mut self) {
         if let Some(leader) = self.leader.take() {
             log::info!(term = self.node.term(); "leads no longer");
@@ -552,17 +513,6 @@
         }
     }
 
-    fn answer_changers(&mut self, index: Index) {
-        let (done, open) = std::mem::take(&mut self.changers)
-            .into_iter()
-            .partition(|(at, _reply)| *at <= index);
-        self.changers = open;
-        let done: Vec<(Index, call::Reply)> = done;
-        for (_index, reply) in done {
-            reply.send(Frame::Ok);
-        }
-    }
-
     fn serve_awaiters(&mut self, id: JobId) {
         let Some(waiting) = self.awaiters.remove(&id) else {
             return;
@@ -618,48 +568,4 @@
         };
         self.watchers.serve(&self.ledger, &view);
     }
-
-    fn restore(&mut self, index: Index, data: &[u8]) {
-        match ledger::Ledger::decode(data) {
-            Ok(ledger) => self.ledger = ledger,
-            Err(err) => {
-                log::error!("snapshot {index}: {err}; this member stops");
-                std::process::abort();
-            }
-        }
-        self.watchers.reset(index);
-        log::info!(index = index; "took over a snapshot");
-    }
-
-    fn install(&mut self, wanted: &node::Wanted) {
-        let Some(snapshot) = &self.snapshot else {
-            return;
-        };
-        let bytes = node::Timing::default().chunk_bytes;
-        let chunk = snapshot.chunk(wanted.index, wanted.offset, bytes);
-        let effects = self.node.install(clock::mono_ms(), wanted.to, chunk);
-        self.send(effects.messages);
-    }
-
-    fn maybe_snapshot(&mut self) {
-        let applied = self.ledger.applied();
-        let last = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
-        if self.saving || applied < last + SNAPSHOT_ENTRIES {
-            return;
-        }
-        let (Ok(data), Some(term)) = (self.ledger.encode(), self.node.log().term(applied)) else {
-            return;
-        };
-        let members = self.node.log().members_at(applied);
-        let snapshot = store::Snapshot {
-            index: applied,
-            term,
-            members,
-            data,
-        };
-        let after = self.node.log().slice(applied + 1, usize::MAX);
-        self.snapshot = Some(snapshot.clone());
-        self.saving = true;
-        self.push(disk::Job::Save { snapshot, after });
-    }
 }
--- /dev/null
+++ b/src/control/member/snapshot.rs
@@ -0,0 +1,55 @@
+//! Snapshots: taken over from the leader, sent to members far behind, saved.
+
+use crate::clock;
+use crate::control::disk;
+use crate::control::member::{Member, SNAPSHOT_ENTRIES};
+use crate::ledger;
+use crate::raft::Index;
+use crate::raft::node;
+use crate::store;
+
+impl Member {
+    pub(super) fn restore(&mut self, index: Index, data: &[u8]) {
+        match ledger::Ledger::decode(data) {
+            Ok(ledger) => self.ledger = ledger,
+            Err(err) => {
+                log::error!("snapshot {index}: {err}; this member stops");
+                std::process::abort();
+            }
+        }
+        self.watchers.reset(index);
+        log::info!(index = index; "took over a snapshot");
+    }
+
+    pub(super) fn install(&mut self, wanted: &node::Wanted) {
+        let Some(snapshot) = &self.snapshot else {
+            return;
+        };
+        let bytes = node::Timing::default().chunk_bytes;
+        let chunk = snapshot.chunk(wanted.index, wanted.offset, bytes);
+        let effects = self.node.install(clock::mono_ms(), wanted.to, chunk);
+        self.send(effects.messages);
+    }
+
+    pub(super) fn maybe_snapshot(&mut self) {
+        let applied = self.ledger.applied();
+        let last = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        if self.saving || applied < last + SNAPSHOT_ENTRIES {
+            return;
+        }
+        let (Ok(data), Some(term)) = (self.ledger.encode(), self.node.log().term(applied)) else {
+            return;
+        };
+        let members = self.node.log().members_at(applied);
+        let snapshot = store::Snapshot {
+            index: applied,
+            term,
+            members,
+            data,
+        };
+        let after = self.node.log().slice(applied + 1, usize::MAX);
+        self.snapshot = Some(snapshot.clone());
+        self.saving = true;
+        self.push(disk::Job::Save { snapshot, after });
+    }
+}
--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -4,12 +4,16 @@
 //! The agent is the only caller of its worker and keeps nothing durable: after a restart it learns
 //! what runs from the worker's own lists.
 
+mod order;
+
+pub use order::{Announcement, Effect, List, Lists, Start, Stop, Taken};
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 
 use crate::flow::book::Info;
-use crate::flow::message::{Active, Ended, Orders, Poll, Report};
+use crate::flow::message::{Orders, Poll, Report};
 use crate::flow::planner;
 use crate::flow::{Millis, Run, WorkerKey};
 use crate::raft::Index;
@@ -39,86 +43,6 @@
 /// Tries of a start after which the worker is given up as the place for it.
 const MAX_TRIES: u32 = 12;
 
-/// What the agent must do next.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Effect {
-    Start(Box<Start>),
-    Stop(Stop),
-}
-
-/// An order to the worker to start a run.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Start {
-    pub worker: String,
-    pub run: Run,
-    pub payload: Bytes,
-    pub checkpoint: String,
-    /// On the worker's clock.
-    pub expires_ms: Millis,
-    pub token: u64,
-}
-
-/// An order to the worker to stop a run.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Stop {
-    pub worker: String,
-    pub run: Run,
-    pub token: u64,
-}
-
-/// A call for the worker's lists, which may also extend its lease.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct List {
-    pub worker: String,
-    pub token: u64,
-    pub cursor: u64,
-    /// On the worker's clock; nothing while the leader has not been heard of.
-    pub expires_ms: Option<Millis>,
-    pub wait_ms: Millis,
-}
-
-/// A worker's lists.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Lists {
-    pub born: u64,
-    /// The worker's clock when it answered.
-    pub clock_ms: Millis,
-    pub active: Vec<Active>,
-    pub ended: Vec<Ended>,
-}
-
-/// How an order to start was taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Taken {
-    Yes,
-    /// A later token was seen there.
-    Fenced,
-    /// The run, or a later one, was stopped or has ended there.
-    Old,
-    /// The order came after its time.
-    Late,
-    /// It does not fit.
-    NoRoom,
-    /// The worker cannot read it.
-    Refused,
-    /// Nothing was done; later perhaps.
-    Busy,
-    /// Another incarnation has answered.
-    OtherWorker,
-    /// Nobody can tell whether it was or will be carried out.
-    Unknown,
-}
-
-/// What the worker says about itself.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Announcement {
-    pub info: Info,
-    pub leaving: bool,
-    pub remaining_ms: Millis,
-    pub clock_ms: Option<Millis>,
-    pub sequence: u64,
-}
-
 /// A run that is to be here.
 #[derive(Clone, Debug)]
 struct Order {
--- a/src/flow/planner.rs
+++ b/src/flow/planner.rs
@@ -8,10 +8,10 @@
 
 use std::collections::BTreeMap;
 
-use crate::flow::book::{Book, Cause, End, Info};
+use crate::flow::book::{Book, Cause, End, Info, State};
 use crate::flow::catalog::{Catalog, Place};
 use crate::flow::command::{Accepted, Command};
-use crate::flow::message::{Act, Answer, Report};
+use crate::flow::message::{Act, Answer, Ended, Report};
 use crate::flow::{JobId, Millis, Run, UnitId, WorkerKey};
 use crate::raft::Index;
 
@@ -277,13 +277,7 @@
         for ended in report.ended {
             if ended.number > cursor {
                 self.note_end(key, ended.run, ended.end);
-                self.push(Command::Ended {
-                    worker: key,
-                    number: ended.number,
-                    run: ended.run,
-                    end: ended.end,
-                    saved: ended.saved,
-                });
+                self.end(key, ended);
             }
         }
         for run in report.absent {
@@ -301,6 +295,36 @@
         }
     }
 
+    /// Records an end, and tells when it ends the job.
+    fn end(&mut self, key: WorkerKey, ended: Ended) {
+        let Ended {
+            number,
+            run,
+            end,
+            saved,
+        } = ended;
+        let job = run.task.job;
+        let name = self
+            .ahead
+            .worker(key)
+            .map(|worker| worker.info.name.clone());
+        log::info!(job:% = format_args!("{job:016x}"), step = run.task.step, index = run.task.index,
+            run = run.number, worker = name.unwrap_or_default(); "run ended: {end:?}");
+        let state = |book: &Book| book.job(job).map(|job| job.state);
+        let before = state(&self.ahead);
+        self.push(Command::Ended {
+            worker: key,
+            number,
+            run,
+            end,
+            saved,
+        });
+        let after = state(&self.ahead);
+        if before != after {
+            log::info!(job:% = format_args!("{job:016x}"); "job ended: {:?}", after.unwrap_or(State::Open));
+        }
+    }
+
     /// Records a new incarnation; whatever else ran beside the same agent is over.
     fn appear(&mut self, info: &Info) -> Option<WorkerKey> {
         let old: Vec<WorkerKey> = self
@@ -377,7 +401,7 @@
         let mut due: Vec<(JobId, u32)> = Vec::new();
         for job in self.ahead.jobs() {
             let more = job.opened < job.form.occurrences();
-            let open = job.state == crate::flow::book::State::Open;
+            let open = job.state == State::Open;
             if open
                 && more
                 && job.form.schedule.is_some()
@@ -415,17 +439,18 @@
             })
             .collect();
         for unit in broken {
-            self.stop(unit, Cause::GangBroken);
+            self.stop(unit, Cause::GangBroken, "");
         }
     }
 
-    fn stop(&mut self, unit: UnitId, cause: Cause) {
+    /// Orders a run to stop; `why` goes on from the cause in the log.
+    fn stop(&mut self, unit: UnitId, cause: Cause, why: &str) {
         let running = self.ahead.unit(unit).and_then(|unit| unit.running.as_ref());
         if running.is_none_or(|running| running.stop.is_some()) {
             return;
         }
         log::info!(job:% = format_args!("{:016x}", unit.job), step = unit.step, first = unit.first;
-            "stop: {cause:?}");
+            "stop: {cause:?}{why}");
         self.push(Command::Stop { unit, cause });
     }
 }
--- a/src/flow/planner/pass.rs
+++ b/src/flow/planner/pass.rs
@@ -40,6 +40,10 @@
 /// Earlier runs of a unit that each double the cost of stopping it.
 const DEAR_RUNS: u32 = 6;
 
+/// Number of the run that only a guarantee may stop: a unit that is started again and again wastes
+/// more than it gives way to.
+const SPARED_RUNS: u32 = 3;
+
 /// Place in the order: smaller goes first.
 type Rank = (bool, u32, Millis, UnitId);
 
@@ -224,8 +228,9 @@
             let held = desk.claimed.entry(*worker).or_default();
             *held = held.plus(&step.each);
         }
+        let why = format!(" for job {:016x} step {}", id.job, id.step);
         for unit in stopped {
-            self.stop(unit, Cause::Reclaimed);
+            self.stop(unit, Cause::Reclaimed, &why);
         }
         let until_ms = self.now + CLAIM_MS;
         self.claims.insert(id, Claim { workers, until_ms });
@@ -296,7 +301,8 @@
             };
             let lower = job.queue.priority > priority || entitled;
             let ending = running.stop.is_some();
-            if !ending && (desk.entitled.contains(&id.job) || !lower) {
+            let spared = !entitled && unit.run >= SPARED_RUNS;
+            if !ending && (desk.entitled.contains(&id.job) || !lower || spared) {
                 continue;
             }
             let open = running.members.iter().filter(|member| member.end.is_none());
--- a/src/flow/planner/watch.rs
+++ b/src/flow/planner/watch.rs
@@ -110,7 +110,7 @@
             for key in workers {
                 self.put_aside(key);
             }
-            self.stop(unit, Cause::Stalled);
+            self.stop(unit, Cause::Stalled, "");
         }
     }
 
