Workers that were given up come back void

Now the agent of such a worker stops what it holds, orders without an answer included, extends no lease, and its ends count only once the lease has lapsed. Late ends of earlier runs cannot come any more; their handling is gone.

--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -21,6 +21,9 @@
 /// Pause before an order without a usable answer is sent again.
 const RETRY_MS: Millis = 250;
 
+/// The same for a stop of what may run elsewhere by now.
+const URGENT_RETRY_MS: Millis = 50;
+
 /// Longest wait of a poll for orders.
 pub const POLL_MS: Millis = 500;
 
@@ -37,6 +40,10 @@
 /// Drift of the worker's clock, with a reserve of half as much.
 const LEASE_DRIFT_PERCENT: Millis = 3;
 
+/// Added to the lease on the worker's clock before it counts as lapsed: the error of the agent's idea
+/// of that clock.
+const LAPSE_MARGIN_MS: Millis = 200;
+
 /// Time from a worker's farewell to its end.
 const FAREWELL_MS: Millis = 1_500;
 
@@ -81,6 +88,12 @@
     clock: Option<(Millis, Millis)>,
     /// When all leases are over for certain.
     lease_end_ms: Millis,
+    /// Whether what the worker holds is void.
+    is_void: bool,
+    /// When its lease has lapsed then, on its clock.
+    void_ms: Option<Millis>,
+    /// Whether the lease has lapsed since the worker was given up.
+    lapsed: bool,
     lists: Option<Lists>,
     /// When the call was sent that gave the lists.
     listed_ms: Millis,
@@ -110,6 +123,9 @@
             cursor: 0,
             clock: None,
             lease_end_ms: 0,
+            is_void: false,
+            void_ms: None,
+            lapsed: false,
             lists: None,
             listed_ms: 0,
             answered_ms: 0,
@@ -178,6 +194,9 @@
         self.clock = None;
         self.lists = None;
         self.lease_end_ms = 0;
+        self.is_void = false;
+        self.void_ms = None;
+        self.lapsed = false;
         self.cursor = 0;
         self.index = 0;
         self.expected = None;
@@ -207,9 +226,30 @@
 
     /// End of a lease that begins now, on the worker's clock.
     fn expires_ms(&self, now: Millis) -> Option<Millis> {
+        let is_held = self.is_granted(now) && !self.is_void;
+        self.lease_from(now).filter(|_end_ms| is_held)
+    }
+
+    /// End of the longest lease that can have begun until now, on the worker's clock.
+    fn lease_from(&self, now: Millis) -> Option<Millis> {
         let (clock_ms, read_ms) = self.clock?;
-        self.is_granted(now)
-            .then(|| clock_ms + now.saturating_sub(read_ms) + self.options.lease_ms)
+        Some(clock_ms + now.saturating_sub(read_ms) + self.options.lease_ms)
+    }
+
+    /// Takes word of whether what the worker holds is void. Its lease is extended no more then, and
+    /// what it did counts only once that has lapsed: an end noted before could stand beside the
+    /// run that was started elsewhere.
+    fn note_void(&mut self, now: Millis, is_void: bool) {
+        if !is_void {
+            self.void_ms = None;
+            self.lapsed = false;
+        } else if !self.is_void {
+            log::info!("the worker had been given up; its lease is to lapse");
+        }
+        self.is_void = is_void;
+        if is_void && self.void_ms.is_none() {
+            self.void_ms = self.lease_from(now).map(|end_ms| end_ms + LAPSE_MARGIN_MS);
+        }
     }
 
     fn lease_sent(&mut self, now: Millis) {
@@ -245,7 +285,6 @@
             return Vec::new();
         }
         self.token = orders.token;
-        self.granted_ms = self.granted_ms.max(sent_ms);
         let Some((key, info)) = orders.worker else {
             return Vec::new();
         };
@@ -256,6 +295,11 @@
             }
             Some(_worker) => {}
         }
+        self.granted_ms = self.granted_ms.max(sent_ms);
+        if self.key != Some(key) {
+            self.note_void(now, false);
+        }
+        self.note_void(now, orders.void);
         self.key = Some(key);
         self.index = orders.index;
         self.cursor = self.cursor.max(orders.cursor);
@@ -277,12 +321,19 @@
                 });
             }
         }
+        if self.is_void {
+            self.give_up();
+        }
         self.orders.retain(|run, _order| wanted.contains(run));
         let listed = self.lists.iter().flat_map(|lists| &lists.active);
         let unwanted = listed
             .map(|active| active.run)
             .filter(|run| !wanted.contains(run));
-        let stops: BTreeSet<Run> = orders.stops.into_iter().chain(unwanted).collect();
+        let mut stops: BTreeSet<Run> = orders.stops.into_iter().chain(unwanted).collect();
+        if self.is_void {
+            // Orders without an answer may yet be carried out.
+            stops.extend(self.removals.keys());
+        }
         for run in &stops {
             self.removals.entry(*run).or_default();
         }
@@ -334,6 +385,11 @@
                 order.taken = true;
             }
         }
+        self.note_void(now, self.is_void);
+        if self.void_ms.is_some_and(|end_ms| lists.clock_ms > end_ms) && !self.lapsed {
+            self.lapsed = true;
+            self.news = true;
+        }
         self.conclude(sent_ms, &lists);
         self.lists = Some(lists);
         self.listed_ms = sent_ms;
@@ -380,12 +436,13 @@
 
     /// Takes the worker's answer to a stop; returns what is to be done.
     pub fn stopped(&mut self, now: Millis, run: Run, confirmed: bool) -> Vec<Effect> {
+        let urgent = self.is_void || self.is_given_up(now);
         if let Some(removal) = self.removals.get_mut(&run) {
             removal.in_flight = false;
             if confirmed {
                 removal.confirmed_ms = Some(now);
             }
-            removal.next_ms = now + RETRY_MS;
+            removal.next_ms = now + if urgent { URGENT_RETRY_MS } else { RETRY_MS };
         }
         self.act(now)
     }
@@ -404,6 +461,15 @@
         ended.into_iter().any(|ended| ended.number > self.cursor)
     }
 
+    /// Stops all that runs and all that may have been started.
+    fn give_up(&mut self) {
+        let listed = self.lists.iter().flat_map(|lists| &lists.active);
+        let runs = self.orders.keys().copied();
+        for run in runs.chain(listed.map(|active| active.run)) {
+            self.removals.entry(run).or_default();
+        }
+    }
+
     /// Orders whose time has come.
     pub fn act(&mut self, now: Millis) -> Vec<Effect> {
         self.look(now);
@@ -411,14 +477,15 @@
         let Some((worker, _born)) = self.incarnation() else {
             return effects;
         };
+        if self.lists.is_none() {
+            return effects;
+        }
+        if self.is_given_up(now) || self.is_void {
+            self.give_up();
+        }
         let Some(lists) = &self.lists else {
             return effects;
         };
-        if self.is_given_up(now) {
-            for active in &lists.active {
-                self.removals.entry(active.run).or_default();
-            }
-        }
         let listed = |run: &Run| {
             lists.active.iter().any(|active| active.run == *run)
                 || lists.ended.iter().any(|ended| ended.run == *run)
@@ -527,6 +594,7 @@
                 .filter(|ended| ended.number > self.cursor)
                 .collect(),
             absent: self.absent.iter().copied().collect(),
+            lapsed: self.key.filter(|_key| self.lapsed),
         })
     }
 }
--- a/src/flow/book.rs
+++ b/src/flow/book.rs
@@ -46,10 +46,6 @@
     GangBroken,
     /// It makes no progress where it is.
     Stalled,
-    /// Its worker is leaving.
-    Leaving,
-    /// An earlier run, of a worker that had been given up, turned out to be done.
-    Superseded,
 }
 
 /// A worker as its agent announces it.
@@ -82,6 +78,9 @@
     pub cursor: u64,
     /// Index of the last entry that changed what its agent has to do.
     pub changed: Index,
+    /// Whether it had been given up before: what it still holds is void, and it gets nothing until
+    /// its lease has lapsed.
+    pub void: bool,
 }
 
 /// Where one task of a run is.
@@ -191,6 +190,8 @@
     /// Units with a run that is not over.
     active: BTreeSet<UnitId>,
     ended: VecDeque<(Millis, JobId)>,
+    /// Last incarnation beside each agent that is over by the log, by name and start.
+    past: BTreeMap<String, (String, u64)>,
 }
 
 impl Book {
--- a/src/flow/book/apply.rs
+++ b/src/flow/book/apply.rs
@@ -31,13 +31,21 @@
             }
             Command::Worker { key, info } => {
                 self.next_worker = self.next_worker.max(key.0 + 1);
+                let past = self.past.get(&info.instance);
                 let worker = Worker {
+                    void: past.is_some_and(|(name, born)| *name == info.name && *born == info.born),
                     info,
                     changed: index,
                     ..Worker::default()
                 };
                 self.workers.insert(key, worker);
             }
+            Command::Lapsed { worker } => {
+                if let Some(worker) = self.workers.get_mut(&worker) {
+                    worker.void = false;
+                    worker.changed = index;
+                }
+            }
             Command::Gone { worker, saved } => self.gone(index, now, worker, &saved),
         }
     }
@@ -218,8 +226,7 @@
         let Some(unit) = self.unit_mut(id) else {
             return;
         };
-        if run.number < unit.run {
-            self.ended_late(index, now, id, run, end);
+        if run.number != unit.run {
             return;
         }
         let position = (run.task.index - id.first) as usize;
@@ -286,35 +293,6 @@
         }
     }
 
-    /// Takes the end of an earlier run, on a worker that had been given up and has come back: its
-    /// work counts, and so does its failure.
-    fn ended_late(&mut self, index: Index, now: Millis, id: UnitId, run: Run, end: End) {
-        let Some((job, step)) = self.step(id) else {
-            return;
-        };
-        let max_attempts = job.queue.max_attempts.max(1);
-        let lasting = step.lasting;
-        let Some(unit) = self.unit_mut(id).filter(|unit| !unit.done && !lasting) else {
-            return;
-        };
-        match end {
-            End::Done => {
-                unit.done = true;
-                self.ready.remove(&id);
-                self.stop(index, id, Cause::Superseded);
-                self.refresh_ready(now, id.job, id.occurrence);
-                self.complete(now, id.job);
-            }
-            End::Failed => {
-                unit.failed.insert(run.number);
-                if unit.failed.len() as u32 >= max_attempts {
-                    self.end_job(index, now, id.job, State::Failed);
-                }
-            }
-            End::Stopped | End::Lapsed | End::Broken | End::Alone | End::Absent => {}
-        }
-    }
-
     fn complete(&mut self, now: Millis, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
@@ -356,7 +334,9 @@
             let kept = kept.map(|(_run, checkpoint)| checkpoint.clone());
             self.ended(index, now, key, run, End::Lapsed, kept.unwrap_or_default());
         }
-        self.workers.remove(&key);
+        if let Some(Worker { info, .. }) = self.workers.remove(&key) {
+            self.past.insert(info.instance, (info.name, info.born));
+        }
     }
 }
 
--- a/src/flow/book/orders.rs
+++ b/src/flow/book/orders.rs
@@ -32,6 +32,7 @@
         };
         orders.worker = Some((key, worker.info.clone()));
         orders.cursor = worker.cursor;
+        orders.void = worker.void;
         for (task, number) in &worker.runs {
             let run = Run {
                 task: *task,
--- a/src/flow/command.rs
+++ b/src/flow/command.rs
@@ -56,6 +56,10 @@
         key: WorkerKey,
         info: Info,
     },
+    /// Records that the lease of a worker that had been given up has lapsed.
+    Lapsed {
+        worker: WorkerKey,
+    },
     /// Records that an incarnation is over, and with it all that ran on it.
     Gone {
         worker: WorkerKey,
--- a/src/flow/message.rs
+++ b/src/flow/message.rs
@@ -79,6 +79,8 @@
     pub ended: Vec<Ended>,
     /// Runs that have not begun and never will.
     pub absent: Vec<Run>,
+    /// Key under which the worker has come back after it was given up, once its lease has lapsed.
+    pub lapsed: Option<WorkerKey>,
 }
 
 /// A long poll of an agent for its orders.
@@ -116,6 +118,8 @@
     pub starts: Vec<Start>,
     pub wanted: Vec<Run>,
     pub stops: Vec<Run>,
+    /// Whether the worker had been given up, and its lease is to lapse before anything counts.
+    pub void: bool,
     /// Addresses of the control members.
     pub members: Vec<SocketAddr>,
 }
--- a/src/flow/planner.rs
+++ b/src/flow/planner.rs
@@ -60,9 +60,6 @@
     until_ms: Millis,
     /// When the worker gave the lists that its agent reported last.
     listed_ms: Millis,
-    /// Whether runs were listed that the log does not know there: a worker that was given up has
-    /// come back and still runs them.
-    strays: bool,
     /// Whether its agent has reported to this leader.
     reported: bool,
     answers: bool,
@@ -271,7 +268,13 @@
         seen.reported = true;
         seen.listed_ms = seen.listed_ms.max(now.saturating_sub(report.age_ms));
         self.dirty |= quiet;
-        self.note_strays(key, &report.active);
+        if self.ahead.worker(key).is_some_and(|worker| worker.void) {
+            if report.lapsed == Some(key) {
+                log::info!(worker = report.info.name; "lapsed since it was given up");
+                self.push(Command::Lapsed { worker: key });
+            }
+            return;
+        }
         self.note_progress(key, report.active);
         let cursor = self.ahead.worker(key).map_or(0, |worker| worker.cursor);
         for ended in report.ended {
--- a/src/flow/planner/pass.rs
+++ b/src/flow/planner/pass.rs
@@ -279,9 +279,11 @@
     }
 
     fn is_usable(&self, key: WorkerKey) -> bool {
+        if self.ahead.worker(key).is_none_or(|worker| worker.void) {
+            return false;
+        }
         self.seen.get(&key).is_some_and(|seen| {
             seen.answers
-                && !seen.strays
                 && !seen.leaving
                 && self.now < seen.heard_ms + SILENT_MS
                 && self.now >= seen.quarantined_ms
--- a/src/flow/planner/watch.rs
+++ b/src/flow/planner/watch.rs
@@ -55,18 +55,6 @@
         }
     }
 
-    /// Notes whether a worker runs what the log does not know there.
-    pub(super) fn note_strays(&mut self, key: WorkerKey, active: &[Active]) {
-        let Some(worker) = self.ahead.worker(key) else {
-            return;
-        };
-        let is_known = |run: &Run| worker.runs.get(&run.task) == Some(&run.number);
-        let strays = active.iter().any(|entry| !is_known(&entry.run));
-        if let Some(seen) = self.seen.get_mut(&key) {
-            seen.strays = strays;
-        }
-    }
-
     /// Whether the last run to end on a worker by itself has failed.
     pub(super) fn is_doubtful(&self, key: WorkerKey) -> bool {
         self.seen
--- a/tests/tests/flow.rs
+++ b/tests/tests/flow.rs
@@ -43,3 +43,30 @@
         prop_assert!(faults.is_empty(), "{faults:#?}");
     }
 }
+
+#[test]
+fn a_worker_given_up_while_it_was_suspended_comes_back_with_nothing_that_counts() {
+    // Single tasks that end as done or failed while their worker is away, and are placed again.
+    let task = |poison| deed::Deed::Submit {
+        width: 3,
+        accelerators: 2,
+        gang: false,
+        second: false,
+        urgent: false,
+        poison,
+    };
+    let suspended: Vec<deed::Deed> = [0, 1, 2, 3]
+        .into_iter()
+        .flat_map(|at| [deed::Deed::Freeze(at), deed::Deed::Pass(30)])
+        .collect();
+    for seed in 1..=200 {
+        let mut deeds = vec![task(false), task(true), task(false), deed::Deed::Pass(40)];
+        for _time in 0..3 {
+            deeds.extend(suspended.iter().cloned());
+            deeds.extend([task(false), task(true)]);
+            deeds.push(deed::Deed::Pass(200));
+        }
+        let faults = play(4, seed, &deeds);
+        assert!(faults.is_empty(), "seed {seed}: {faults:#?}");
+    }
+}
