Handler threads are started as requests need them

Cause: each process started all its handler threads at once, 272 in an entry or control member; the suite's clusters came to 6,133 threads. A crew of threads now starts with one and grows to its bound, and goes on with what it has when the system gives no more.

--- a/src/console.rs
+++ b/src/console.rs
@@ -10,8 +10,9 @@
 /// Result of a call to the system.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Time allowed for a call.
-const TIMEOUT: Duration = Duration::from_secs(20);
+/// Time allowed for a call: first a short one, so that a member that accepts connections and says
+/// nothing does not hold the shell up, then one that outlasts an election.
+const TIMEOUTS: [Duration; 2] = [Duration::from_secs(3), Duration::from_secs(20)];
 
 /// Largest answer.
 const MAX_BYTES: u64 = 64 << 20;
@@ -104,7 +105,15 @@
         let mut last = Error::Unreachable {
             detail: "no control address is set".to_owned(),
         };
-        for addr in &self.control {
+        let rounds = if self.control.len() > 1 {
+            &TIMEOUTS[..]
+        } else {
+            &TIMEOUTS[1..]
+        };
+        let tries = rounds
+            .iter()
+            .flat_map(|timeout| self.control.iter().map(move |addr| (addr, *timeout)));
+        for (addr, timeout) in tries {
             let call = Call {
                 method,
                 url: format!("http://{addr}{path}"),
@@ -112,7 +121,7 @@
                 headers: vec![("content-type", "application/json".to_owned())],
                 body: body.clone(),
             };
-            match send(&call, TIMEOUT) {
+            match send(&call, timeout) {
                 Ok(answer) => return document(&answer),
                 Err(err) => last = err,
             }
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -3,10 +3,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::os::fd::OwnedFd;
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rustix::net;
 use serde_json::json;
 
 use crate::agent;
@@ -236,10 +238,14 @@
 
 fn start_control(options: &Options<'_>, region: &str) -> Result<Vec<control::daemon::Daemon>> {
     // Members must know each other's addresses before they start.
-    let mut voters = BTreeMap::new();
+    let mut reserved = BTreeMap::new();
     for id in 1..=options.members {
-        voters.insert(id, free_address()?);
+        reserved.insert(id, Reservation::take()?);
     }
+    let voters: BTreeMap<u64, SocketAddr> = reserved
+        .iter()
+        .map(|(id, kept)| (*id, kept.addr()))
+        .collect();
     let mut members = Vec::new();
     for (id, addr) in &voters {
         let data = options.data.join(format!("control-{id}"));
@@ -269,11 +275,39 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
 
-/// An address on loopback that nobody listens on at the moment.
-///
-/// # Errors
-/// `Unreachable` when there is none.
-pub fn free_address() -> Result<SocketAddr> {
-    let listener = std::net::TcpListener::bind(loopback(0))?;
-    Ok(listener.local_addr()?)
+/// An address on loopback that is kept from others until this is dropped. Bound, but not listening:
+/// whoever is told the address may listen on it, at any time and again after a restart, while the
+/// system gives it to nobody else.
+#[derive(Debug)]
+pub struct Reservation {
+    addr: SocketAddr,
+    _socket: OwnedFd,
+}
+
+impl Reservation {
+    /// Takes an address that is free.
+    ///
+    /// # Errors
+    /// `Unreachable` when there is none.
+    pub fn take() -> Result<Self> {
+        Self::bind().map_err(|err| std::io::Error::from(err).into())
+    }
+
+    fn bind() -> rustix::io::Result<Self> {
+        let socket = net::socket(net::AddressFamily::INET, net::SocketType::STREAM, None)?;
+        rustix::io::ioctl_fioclex(&socket)?;
+        net::sockopt::set_socket_reuseaddr(&socket, true)?;
+        net::bind(&socket, &loopback(0))?;
+        let addr = SocketAddr::try_from(net::getsockname(&socket)?)
+            .map_err(|_other_family| rustix::io::Errno::AFNOSUPPORT)?;
+        Ok(Self {
+            addr,
+            _socket: socket,
+        })
+    }
+
+    /// The address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -4,6 +4,7 @@
 //! which may block. A connection that is idle or slow costs no thread.
 
 mod body;
+mod crew;
 mod listen;
 
 use std::net::SocketAddr;
@@ -32,12 +33,6 @@
 /// An answer.
 pub type Response = http::Response<Body>;
 
-/// Requests that may wait for a handler thread, for each thread.
-const RING_PER_THREAD: usize = 4;
-
-/// Stack of a handler thread.
-const STACK_BYTES: usize = 256 << 10;
-
 /// Time in which the last bytes of answers leave after a drain.
 const FLUSH: Duration = Duration::from_millis(50);
 
@@ -112,7 +107,7 @@
     answer: oneshot::Sender<Response>,
 }
 
-/// Starts serving; returns the address in use.
+/// Starts serving with at most so many handler threads; returns the address in use.
 ///
 /// # Errors
 /// `Unreachable` when the address cannot be listened on.
@@ -122,37 +117,17 @@
     gate: Arc<Gate>,
     handler: Arc<H>,
 ) -> Result<SocketAddr> {
-    let (jobs, queue) = channel::bounded(threads * RING_PER_THREAD);
-    for _thread in 0..threads {
-        let (queue, gate, handler) = (queue.clone(), Arc::clone(&gate), Arc::clone(&handler));
-        spawn("handler", move || serve_queue(&queue, &gate, &*handler))?;
-    }
-    let max_body_bytes = handler.max_body_bytes();
+    let crew = crew::Crew::start(threads, gate, handler)?;
     let (ready, started) = channel::bounded(1);
-    spawn("http", move || {
-        listen::run(addr, max_body_bytes, gate, jobs, &ready)
-    })?;
+    thread::Builder::new()
+        .name("http".to_owned())
+        .spawn(move || listen::run(addr, crew, &ready))
+        .map_err(|err| error::Error::new(error::Kind::Internal, err.to_string()))?;
     started.recv().map_err(|_closed| {
         error::Error::new(error::Kind::Internal, "the HTTP thread has stopped")
     })?
 }
 
-fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<()> {
-    thread::Builder::new()
-        .name(name.to_owned())
-        .stack_size(STACK_BYTES)
-        .spawn(run)
-        .map(drop)
-        .map_err(|err| error::Error::new(error::Kind::Internal, err.to_string()))
-}
-
-fn serve_queue<H: Handler>(queue: &channel::Receiver<Job>, gate: &Gate, handler: &H) {
-    for Job { request, answer } in queue {
-        // A caller that has gone away does not take the answer.
-        drop(answer.send(route(gate, handler, &request)));
-    }
-}
-
 fn route<H: Handler>(gate: &Gate, handler: &H, request: &Request) -> Response {
     match request.uri().path() {
         "/healthz" => text(200, "ok\n"),
--- a/src/serve/listen.rs
+++ b/src/serve/listen.rs
@@ -14,7 +14,8 @@
 
 use crate::error;
 use crate::serve::body::Never;
-use crate::serve::{Gate, Job, Request, Response, Result, problem};
+use crate::serve::crew::Crew;
+use crate::serve::{Handler, Job, Request, Response, Result, problem};
 
 /// Most connections at a time; more wait in the listener's backlog.
 const MAX_CONNECTIONS: usize = 4_096;
@@ -29,11 +30,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Serves until the process ends.
-pub(super) fn run(
+pub(super) fn run<H: Handler>(
     addr: SocketAddr,
-    max_body_bytes: usize,
-    gate: Arc<Gate>,
-    jobs: channel::Sender<Job>,
+    crew: Arc<Crew<H>>,
     ready: &channel::Sender<Result<SocketAddr>>,
 ) {
     let runtime = match tokio::runtime::Builder::new_current_thread()
@@ -54,15 +53,7 @@
         match bound {
             Ok((listener, local)) => {
                 drop(ready.send(Ok(local)));
-                accept(
-                    listener,
-                    Front {
-                        max_body_bytes,
-                        gate,
-                        jobs,
-                    },
-                )
-                .await;
+                accept(listener, crew).await;
             }
             Err(err) => {
                 let detail = format!("listening on {addr}: {err}");
@@ -73,15 +64,7 @@
     });
 }
 
-/// What every connection shares.
-#[derive(Clone)]
-struct Front {
-    max_body_bytes: usize,
-    gate: Arc<Gate>,
-    jobs: channel::Sender<Job>,
-}
-
-async fn accept(listener: net::TcpListener, front: Front) {
+async fn accept<H: Handler>(listener: net::TcpListener, crew: Arc<Crew<H>>) {
     let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         let Ok(place) = Arc::clone(&places).acquire_owned().await else {
@@ -90,9 +73,9 @@
         match listener.accept().await {
             Ok((stream, _peer)) => {
                 drop(stream.set_nodelay(true));
-                let front = front.clone();
+                let crew = Arc::clone(&crew);
                 tokio::spawn(async move {
-                    connection(stream, front).await;
+                    connection(stream, crew).await;
                     drop(place);
                 });
             }
@@ -104,10 +87,10 @@
     }
 }
 
-async fn connection(stream: net::TcpStream, front: Front) {
+async fn connection<H: Handler>(stream: net::TcpStream, crew: Arc<Crew<H>>) {
     let service = service_fn(move |request| {
-        let front = front.clone();
-        async move { Ok::<_, Never>(front.answer(request).await) }
+        let crew = Arc::clone(&crew);
+        async move { Ok::<_, Never>(answer(&crew, request).await) }
     });
     let served = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -119,47 +102,38 @@
     }
 }
 
-impl Front {
-    async fn answer(&self, request: http::Request<Incoming>) -> Response {
-        let entered = self.gate.enter();
-        let result = match self.read(request).await {
-            Ok(request) => self.hand_over(request).await,
-            Err(err) => Err(err),
-        };
-        let mut response = result.unwrap_or_else(|err| problem(&err));
-        response.body_mut().entered = Some(entered);
-        response
-    }
+async fn answer<H: Handler>(crew: &Arc<Crew<H>>, request: http::Request<Incoming>) -> Response {
+    let entered = crew.gate().enter();
+    let result = match read(request, crew.max_body_bytes()).await {
+        Ok(request) => hand_over(crew, request).await,
+        Err(err) => Err(err),
+    };
+    let mut response = result.unwrap_or_else(|err| problem(&err));
+    response.body_mut().entered = Some(entered);
+    response
+}
 
-    async fn read(&self, request: http::Request<Incoming>) -> Result<Request> {
-        let (parts, body) = request.into_parts();
-        let limited = Limited::new(body, self.max_body_bytes).collect();
-        let read = time::timeout(BODY_TIMEOUT, limited).await;
-        let malformed = |detail: &str| error::Error::new(error::Kind::Malformed, detail);
-        let collected = match read {
-            Ok(Ok(collected)) => collected,
-            Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
-                let detail = format!("the body is over {} bytes", self.max_body_bytes);
-                return Err(error::Error::new(error::Kind::BodyTooLarge, detail));
-            }
-            Ok(Err(err)) => return Err(malformed(&format!("body: {err}"))),
-            Err(_elapsed) => return Err(malformed("the body did not come in time")),
-        };
-        Ok(http::Request::from_parts(parts, collected.to_bytes()))
-    }
+async fn read(request: http::Request<Incoming>, max_bytes: usize) -> Result<Request> {
+    let (parts, body) = request.into_parts();
+    let limited = Limited::new(body, max_bytes).collect();
+    let read = time::timeout(BODY_TIMEOUT, limited).await;
+    let malformed = |detail: &str| error::Error::new(error::Kind::Malformed, detail);
+    let collected = match read {
+        Ok(Ok(collected)) => collected,
+        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
+            let detail = format!("the body is over {max_bytes} bytes");
+            return Err(error::Error::new(error::Kind::BodyTooLarge, detail));
+        }
+        Ok(Err(err)) => return Err(malformed(&format!("body: {err}"))),
+        Err(_elapsed) => return Err(malformed("the body did not come in time")),
+    };
+    Ok(http::Request::from_parts(parts, collected.to_bytes()))
+}
 
-    async fn hand_over(&self, request: Request) -> Result<Response> {
-        let (answer, answered) = oneshot::channel();
-        self.jobs
-            .try_send(Job { request, answer })
-            .map_err(|_full| {
-                error::Error::new(
-                    error::Kind::Overloaded,
-                    "too many requests wait for a thread",
-                )
-            })?;
-        answered
-            .await
-            .map_err(|_dropped| error::Error::new(error::Kind::Internal, "the handler has failed"))
-    }
+async fn hand_over<H: Handler>(crew: &Arc<Crew<H>>, request: Request) -> Result<Response> {
+    let (answer, answered) = oneshot::channel();
+    crew.hand_over(Job { request, answer })?;
+    answered
+        .await
+        .map_err(|_dropped| error::Error::new(error::Kind::Internal, "the handler has failed"))
 }
--- a/tests/tests/serve.rs
+++ b/tests/tests/serve.rs
@@ -126,3 +126,44 @@
         assert!(body.contains(case.body), "{}: {body}", case.name);
     }
 }
+
+/// Answers only once as many requests as the crew has threads are there together.
+struct Together(std::sync::Barrier);
+
+impl serve::Handler for Together {
+    fn max_body_bytes(&self) -> usize {
+        0
+    }
+
+    fn handle(&self, _request: &serve::Request) -> serve::Response {
+        self.0.wait();
+        let body = serve::Body::whole(bytes::Bytes::from_static(b"together"));
+        serve::respond(200, "text/plain", body)
+    }
+
+    fn readiness(&self) -> Result<(), String> {
+        Ok(())
+    }
+}
+
+#[test]
+fn threads_are_started_up_to_the_bound_when_requests_need_them() {
+    const THREADS: usize = 6;
+    let handler = Arc::new(Together(std::sync::Barrier::new(THREADS)));
+    let addr = serve::start(dev::loopback(0), THREADS, Arc::default(), handler);
+    let addr = addr.expect("a free port");
+    let ask = move || {
+        let mut stream = TcpStream::connect(addr).expect("it listens");
+        stream
+            .write_all(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            .expect("sent");
+        read_answer(&mut stream)
+    };
+    // Twice, so that threads which have answered are used again.
+    for _round in 0..2 {
+        let asked: Vec<_> = (0..THREADS).map(|_number| thread::spawn(ask)).collect();
+        for one in asked {
+            assert_eq!(one.join().expect("it ends"), (200, "together".to_owned()));
+        }
+    }
+}
