--- a/examples/commit.rs
+++ b/examples/commit.rs
@@ -39,10 +39,14 @@
 
 fn measure(delay: Duration) -> anyhow::Result<()> {
     let scratch = Scratch::new("commit")?;
-    let mut voters: BTreeMap<u64, SocketAddr> = BTreeMap::new();
+    let mut reserved = BTreeMap::new();
     for id in 1..=3 {
-        voters.insert(id, dev::free_address()?);
+        reserved.insert(id, dev::Reservation::take()?);
     }
+    let voters: BTreeMap<u64, SocketAddr> = reserved
+        .iter()
+        .map(|(id, kept)| (*id, kept.addr()))
+        .collect();
     let mut members = Vec::new();
     for (id, addr) in &voters {
         let data = scratch.path().join(id.to_string());
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the library and the daemons, one file for each role or command.
 
+#[path = "tests/address.rs"]
+mod address;
 #[path = "tests/cluster.rs"]
 mod cluster;
 #[path = "tests/config.rs"]
--- a/tests/tests/cluster.rs
+++ b/tests/tests/cluster.rs
@@ -1,6 +1,7 @@
 //! A system of real processes in a work directory of its own, with stand-ins in the test's process.
 
 use std::collections::BTreeMap;
+use std::fs::File;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
@@ -21,16 +22,26 @@
 /// Token of the account `acme`.
 pub const ACME: &str = "acme-token";
 
+/// Lines of each process that are shown when a test has failed.
+const SHOWN_LINES: usize = 40;
+
 /// A process of the system; killed when dropped.
 pub struct Process(Child);
 
 impl Process {
-    fn start(binary: &str, args: &[String]) -> Self {
+    /// Starts it; what it writes goes to the end of a log in the work directory.
+    fn start(dir: &Path, binary: &str, args: &[String]) -> Self {
+        let name = args.get(1).map_or("process", String::as_str);
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(dir.join(format!("{name}.log")))
+            .expect("a log");
         let child = Command::new(binary)
             .args(args)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stdout(log.try_clone().expect("a second handle"))
+            .stderr(log)
             .spawn()
             .expect("a binary of this package");
         Self(child)
@@ -82,6 +93,26 @@
     agent_args: Vec<String>,
     pub target: target::Target,
     pub workers: Vec<worker::Worker>,
+    _reserved: Vec<dev::Reservation>,
+}
+
+impl Drop for Cluster {
+    /// Shows the ends of the logs of a test that failed.
+    fn drop(&mut self) {
+        if thread::panicking() {
+            show_logs(self.dir.path());
+        }
+    }
+}
+
+fn show_logs(dir: &Path) {
+    let files = std::fs::read_dir(dir).into_iter().flatten().flatten();
+    for file in files.filter(|file| file.path().extension().is_some_and(|end| end == "log")) {
+        let text = std::fs::read_to_string(file.path()).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().collect();
+        let last = &lines[lines.len().saturating_sub(SHOWN_LINES)..];
+        eprintln!("--- {}\n{}", file.path().display(), last.join("\n"));
+    }
 }
 
 fn text(parts: &[&str]) -> Vec<String> {
@@ -136,9 +167,15 @@
     /// Starts everything and waits until a first request could be served.
     pub fn start() -> Self {
         let dir = tempfile::tempdir().expect("a work directory");
+        let mut reserved = Vec::new();
+        let mut free = || {
+            let kept = dev::Reservation::take().expect("a free address");
+            let addr = kept.addr();
+            reserved.push(kept);
+            addr
+        };
         let mut addrs = BTreeMap::new();
         for id in 1..=3_u64 {
-            let free = || dev::free_address().expect("a free address");
             addrs.insert(id, (free(), free()));
         }
         let wires: Vec<String> = addrs
@@ -157,7 +194,7 @@
         }
         let mut entries = Vec::new();
         for name in ["entry-1", "entry-2"] {
-            let http = dev::free_address().expect("a free address");
+            let http = free();
             let (http_text, wires) = (http.to_string(), wires.join(","));
             let args = text(&[
                 "--name",
@@ -170,12 +207,12 @@
                 &wires,
             ]);
             entries.push((
-                Process::start(env!("CARGO_BIN_EXE_oriolereel-entry"), &args),
+                Process::start(dir.path(), env!("CARGO_BIN_EXE_oriolereel-entry"), &args),
                 http,
             ));
         }
-        let listen = dev::free_address().expect("a free address").to_string();
-        let agent_http = dev::free_address().expect("a free address");
+        let listen = free().to_string();
+        let agent_http = free();
         let (http_text, wires) = (agent_http.to_string(), wires.join(","));
         let agent_args = text(&[
             "--name",
@@ -189,7 +226,11 @@
             "--control",
             &wires,
         ]);
-        let agent = Process::start(env!("CARGO_BIN_EXE_oriolereel-agent"), &agent_args);
+        let agent = Process::start(
+            dir.path(),
+            env!("CARGO_BIN_EXE_oriolereel-agent"),
+            &agent_args,
+        );
         let target = target::Target::start(target::Options {
             name: "target-1".to_owned(),
             listen: dev::loopback(0),
@@ -225,6 +266,7 @@
             agent_args,
             target: target.expect("a free port"),
             workers: workers.collect(),
+            _reserved: reserved,
         };
         cluster.apply(1, 1).expect("a first configuration");
         cluster.wait_ready();
@@ -233,7 +275,8 @@
 
     /// Starts the agent again, after it was killed.
     pub fn restart_agent(&mut self) {
-        self.agent = Process::start(env!("CARGO_BIN_EXE_oriolereel-agent"), &self.agent_args);
+        let binary = env!("CARGO_BIN_EXE_oriolereel-agent");
+        self.agent = Process::start(self.dir.path(), binary, &self.agent_args);
     }
 
     /// Starts a control member again, after it was killed.
@@ -342,7 +385,7 @@
         "--operator-token",
         TOKEN,
     ]);
-    Process::start(env!("CARGO_BIN_EXE_oriolereel-control"), &args)
+    Process::start(dir, env!("CARGO_BIN_EXE_oriolereel-control"), &args)
 }
 
 /// What a caller was told.
