--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -5,8 +5,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crossbeam::channel;
+
 use crate::clock;
 use crate::error;
+use crate::flow::message::{Call, Reply};
 use crate::limit;
 use crate::wire::{self, Frame, transport};
 
@@ -14,6 +17,13 @@
 /// between regions. An answer that comes later is asked for again under the same identity.
 const CALL_MS: u64 = 700;
 
+/// Longest time of one search for the leader among all members: twice the way between regions and
+/// a busy member's delay.
+const SEARCH_MS: u64 = 300;
+
+/// Most members asked in one search, those that others point at included.
+const MAX_ASKED: usize = 16;
+
 /// First pause before a retry.
 const PAUSE_MS: u64 = 20;
 
@@ -31,17 +41,19 @@
 pub struct Group {
     transport: transport::Transport,
     shared: Arc<Mutex<Shared>>,
+    /// Held by the one search that goes on; when the last one failed.
+    search: Arc<Mutex<Option<Instant>>>,
 }
 
 #[derive(Debug)]
 struct Shared {
-    /// Position of the member to be asked while no leader is known.
-    next: usize,
     /// Members to ask; never empty.
     members: Vec<SocketAddr>,
     leader: Option<SocketAddr>,
     /// When the leader answered last.
     heard: Option<Instant>,
+    /// Since when no leader has been found.
+    dark: Option<Instant>,
     budget: limit::Budget,
 }
 
@@ -50,13 +62,17 @@
     pub fn new(transport: transport::Transport, members: Vec<SocketAddr>) -> Self {
         let budget = limit::Budget::new(RETRY_PERCENT, RETRY_RESERVE);
         let shared = Arc::new(Mutex::new(Shared {
-            next: 0,
             members,
             leader: None,
             heard: None,
+            dark: None,
             budget,
         }));
-        Self { transport, shared }
+        Self {
+            transport,
+            shared,
+            search: Arc::default(),
+        }
     }
 
     /// Addresses of the members.
@@ -87,6 +103,12 @@
         heard.is_some_and(|heard| heard.elapsed() < within)
     }
 
+    /// Whether no leader has been found for a time.
+    pub fn is_dark(&self, time: Duration) -> bool {
+        let dark = self.shared().dark;
+        dark.is_some_and(|since| since.elapsed() >= time)
+    }
+
     /// The transport underneath.
     pub fn transport(&self) -> &transport::Transport {
         &self.transport
@@ -104,31 +126,30 @@
         let mut last = String::from("no member was reached");
         let mut ran = error::Ran::No;
         while tries == 0 || start.elapsed() < limit {
-            let addr = self.choose();
             tries += 1;
-            let left = (limit + wait).saturating_sub(start.elapsed());
-            let timeout = timeout.min(left.max(Duration::from_millis(100)));
-            match self.transport.call(addr, frame.clone(), timeout) {
-                Ok(Frame::Redirect { leader }) => {
-                    self.pass_on(leader.filter(|leader| *leader != addr));
-                    last = format!("{addr} does not lead");
-                    if leader.is_some_and(|leader| leader != addr) && tries < 4 {
-                        continue;
+            let left = limit.saturating_sub(start.elapsed());
+            if let Some(addr) = self.leader(left) {
+                let left = (limit + wait).saturating_sub(start.elapsed());
+                let timeout = timeout.min(left.max(Duration::from_millis(100)));
+                match self.transport.call(addr, frame.clone(), timeout) {
+                    Ok(Frame::Redirect { leader }) => {
+                        self.shared().leader = leader.filter(|leader| *leader != addr);
+                        last = format!("{addr} does not lead");
+                        if leader.is_some_and(|leader| leader != addr) && tries < 4 {
+                            continue;
+                        }
                     }
-                }
-                Err(err) if is_transient(&err) => {
-                    if err.ran != error::Ran::No {
-                        ran = error::Ran::Unknown;
+                    Err(err) if is_transient(&err) => {
+                        if err.ran != error::Ran::No {
+                            ran = error::Ran::Unknown;
+                        }
+                        self.shared().leader = None;
+                        last = err.detail;
+                    }
+                    result => {
+                        self.found(addr);
+                        return result;
                     }
-                    self.pass_on(None);
-                    last = err.detail;
-                }
-                result => {
-                    let mut shared = self.shared();
-                    shared.leader = Some(addr);
-                    shared.heard = Some(Instant::now());
-                    shared.budget.succeed();
-                    return result;
                 }
             }
             let allowed = self.shared().budget.retry();
@@ -152,18 +173,86 @@
             .call(addr, frame.clone(), wait + Duration::from_millis(CALL_MS))
     }
 
-    fn choose(&self) -> SocketAddr {
-        let shared = self.shared();
-        let next = || shared.members[shared.next % shared.members.len()];
-        shared.leader.unwrap_or_else(next)
+    /// The leader, searched for unless one is known.
+    fn leader(&self, limit: Duration) -> Option<SocketAddr> {
+        if let Some(leader) = self.shared().leader {
+            return Some(leader);
+        }
+        // One search serves all that wait for it.
+        let asked = Instant::now();
+        let mut failed = self.search.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(leader) = self.shared().leader {
+            return Some(leader);
+        }
+        if failed.is_some_and(|at| at > asked) {
+            return None;
+        }
+        let found = self.search(limit);
+        if found.is_none() {
+            *failed = Some(Instant::now());
+            self.shared().dark.get_or_insert(asked);
+        }
+        found
+    }
+
+    /// Asks all members at once who leads: one that keeps silent takes no time of the others.
+    fn search(&self, limit: Duration) -> Option<SocketAddr> {
+        let limit = limit.clamp(Duration::from_millis(100), Duration::from_millis(SEARCH_MS));
+        let deadline = Instant::now() + limit;
+        let (ring, answers) = channel::bounded(MAX_ASKED);
+        let mut asked = self.members();
+        asked.truncate(MAX_ASKED);
+        for at in 0..asked.len() {
+            self.ask(&asked, at, limit, &ring);
+        }
+        let mut open = asked.len();
+        while open > 0 {
+            let answer = answers.recv_deadline(deadline).ok()?;
+            open -= 1;
+            match answer.result {
+                Ok(Frame::Redirect { leader: Some(addr) })
+                    if !asked.contains(&addr) && asked.len() < MAX_ASKED =>
+                {
+                    asked.push(addr);
+                    self.ask(&asked, asked.len() - 1, limit, &ring);
+                    open += 1;
+                }
+                Ok(Frame::Redirect { .. }) | Err(_) => {}
+                Ok(frame) => {
+                    if let Frame::FlowReply(Reply::Members(members)) = frame {
+                        self.learn(&members);
+                    }
+                    let addr = asked[answer.tag as usize];
+                    self.found(addr);
+                    return Some(addr);
+                }
+            }
+        }
+        None
+    }
+
+    fn ask(
+        &self,
+        asked: &[SocketAddr],
+        at: usize,
+        limit: Duration,
+        ring: &channel::Sender<transport::Answer>,
+    ) {
+        let frame = Frame::Flow(Call::Members);
+        let sent = self
+            .transport
+            .send(asked[at], frame, limit, at as u64, ring);
+        if let Err(err) = sent {
+            log::debug!(peer:% = asked[at]; "not asked who leads: {err}");
+        }
     }
 
-    /// Goes on to the next member, which later calls begin with too: one that does not answer would
-    /// else take the time of each of them.
-    fn pass_on(&self, leader: Option<SocketAddr>) {
+    fn found(&self, addr: SocketAddr) {
         let mut shared = self.shared();
-        shared.leader = leader;
-        shared.next = shared.next.wrapping_add(1);
+        shared.leader = Some(addr);
+        shared.heard = Some(Instant::now());
+        shared.dark = None;
+        shared.budget.succeed();
     }
 
     fn shared(&self) -> std::sync::MutexGuard<'_, Shared> {
