tests: a poll that may not be granted yet is held, as the leader holds it

The leader holds such a poll until the log has the decision (control/flow.rs), and now the world does.

--- a/tests/tests/flow/world.rs
+++ b/tests/tests/flow/world.rs
@@ -376,6 +376,10 @@
             let key = orders.worker.as_ref().map(|(key, _info)| *key);
             let granted = key.is_none_or(|key| self.planner.grant(now, key));
             let late_ms = self.draw(4) * STEP_MS;
+            if !granted {
+                // The leader holds the poll until the log has what was decided on the worker.
+                self.agents[at].next_poll_ms = now + STEP_MS;
+            }
             if granted && self.draw(15) > 0 {
                 let polled = Transit::Polled(at, now, Box::new(orders));
                 self.transit.push((now + late_ms, polled));
