Circles between modules untied

config: what parse and check share is config::draft. control::admin extends Member and is its child. The record of service-level burn belongs to the ledger (ledger::burn); report only renders. Keys of workers are event::WorkerKey, so sched::fleet depends on sched::event and not the reverse. No behaviour changes.

--- a/examples/replay.rs
+++ b/examples/replay.rs
@@ -94,7 +94,7 @@
     due: BinaryHeap<Reverse<(Millis, Due)>>,
     jobs: BTreeMap<JobId, Job>,
     names: BTreeMap<String, JobId>,
-    broken: BTreeMap<fleet::Key, bool>,
+    broken: BTreeMap<event::WorkerKey, bool>,
     completions: Vec<Millis>,
     reclaims: Vec<Millis>,
     step_us: Vec<f64>,
@@ -136,7 +136,7 @@
     let mut workers: BTreeMap<String, event::Worker> = BTreeMap::new();
     for (name, rack) in &config.racks {
         for number in 1..=rack.workers {
-            let key = fleet::Key(workers.len() as u32);
+            let key = event::WorkerKey(workers.len() as u32);
             let worker = event::Worker {
                 key,
                 region: rack.region.clone(),
@@ -300,7 +300,7 @@
             .push(Reverse((self.now + after, Due::End { job: id, run })));
     }
 
-    fn lose(&mut self, key: fleet::Key) {
+    fn lose(&mut self, key: event::WorkerKey) {
         let here = |job: &Job| job.members.iter().any(|member| member.worker == key);
         let lost: Vec<JobId> = self
             .jobs
--- a/examples/scale.rs
+++ b/examples/scale.rs
@@ -16,7 +16,6 @@
 use oriolereel::raft::node;
 use oriolereel::sched::core::{Policy, Sched};
 use oriolereel::sched::event::{self, Decision, End, Event};
-use oriolereel::sched::fleet;
 use oriolereel::store::{self, folder};
 use oriolereel::wire::{self, frame};
 use oriolereel::{dev, error};
@@ -51,7 +50,7 @@
     let rack = key / 30;
     let region = rack % 4;
     event::Worker {
-        key: fleet::Key(key),
+        key: event::WorkerKey(key),
         region: format!("region-{region}"),
         domain: format!("domain-{}", rack % 10),
         rack: format!("rack-{rack}"),
@@ -270,7 +269,7 @@
 /// Commands of one job's whole life; its gang has so many members.
 fn life(job: u64, members: u32) -> Vec<Command> {
     let members = (0..members).map(|key| event::Member {
-        worker: fleet::Key(key),
+        worker: event::WorkerKey(key),
         tasks: 1,
     });
     let placement = event::Placement {
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -20,7 +20,6 @@
 use crate::raft::Index;
 use crate::sched::JobId;
 use crate::sched::event;
-use crate::sched::fleet;
 use crate::wire::frame;
 
 /// Renewals in the term of a lease.
@@ -59,7 +58,7 @@
     },
     /// The answer to lease operations, in their order.
     Leased {
-        worker: fleet::Key,
+        worker: event::WorkerKey,
         ops: Vec<Op>,
         result: backend::Result<Outcomes>,
     },
@@ -92,7 +91,7 @@
 /// Lease operations for one worker, sent in one message.
 #[derive(Debug)]
 pub struct Order {
-    pub worker: fleet::Key,
+    pub worker: event::WorkerKey,
     pub addr: SocketAddr,
     pub ops: Vec<Op>,
 }
--- a/src/agent/core/lease.rs
+++ b/src/agent/core/lease.rs
@@ -10,7 +10,6 @@
 use crate::error;
 use crate::sched::JobId;
 use crate::sched::event;
-use crate::sched::fleet;
 
 impl Core {
     /// Asks every member for a lease; a gang on one worker starts in the same step.
@@ -34,7 +33,7 @@
         let Some(gang) = self.gangs.get_mut(&job) else {
             return;
         };
-        let workers: Vec<fleet::Key> = gang.members.keys().copied().collect();
+        let workers: Vec<event::WorkerKey> = gang.members.keys().copied().collect();
         for worker in workers {
             let op = gang.op(worker, verb);
             gang.sending(worker, verb, self.now);
@@ -49,7 +48,7 @@
 
     pub(super) fn on_leased(
         &mut self,
-        worker: fleet::Key,
+        worker: event::WorkerKey,
         ops: &[Op],
         result: &backend::Result<Outcomes>,
     ) {
@@ -73,7 +72,7 @@
         }
     }
 
-    fn confirmed(&mut self, worker: fleet::Key, op: &Op) {
+    fn confirmed(&mut self, worker: event::WorkerKey, op: &Op) {
         let now = self.now;
         let Some(gang) = self.gangs.get_mut(&op.job) else {
             return;
@@ -142,7 +141,7 @@
         self.out.push(Effect::Dispatch(dispatch));
     }
 
-    fn refused(&mut self, worker: fleet::Key, op: &Op, refusal: Refusal) {
+    fn refused(&mut self, worker: event::WorkerKey, op: &Op, refusal: Refusal) {
         let Some(gang) = self.gangs.get_mut(&op.job) else {
             return;
         };
@@ -176,7 +175,7 @@
     }
 
     /// An operation got no answer: its effect is unknown until the lease's term has run out.
-    fn unanswered(&mut self, worker: fleet::Key, op: &Op) {
+    fn unanswered(&mut self, worker: event::WorkerKey, op: &Op) {
         let Some(gang) = self.gangs.get_mut(&op.job) else {
             return;
         };
@@ -189,7 +188,7 @@
         }
     }
 
-    fn lose(&mut self, job: JobId, worker: fleet::Key) {
+    fn lose(&mut self, job: JobId, worker: event::WorkerKey) {
         let Some(gang) = self.gangs.get(&job) else {
             return;
         };
@@ -216,7 +215,7 @@
             return;
         }
         gang.stage = Stage::Releasing;
-        let open: Vec<fleet::Key> = gang
+        let open: Vec<event::WorkerKey> = gang
             .members
             .iter()
             .filter(|(_worker, member)| member.lease != Lease::Released)
@@ -241,7 +240,7 @@
             return;
         }
         self.renewed_ms = self.now;
-        let mut messages: BTreeMap<fleet::Key, (SocketAddr, Vec<Op>)> = BTreeMap::new();
+        let mut messages: BTreeMap<event::WorkerKey, (SocketAddr, Vec<Op>)> = BTreeMap::new();
         for gang in self.gangs.values_mut() {
             let verb = if gang.is_held() {
                 Verb::Renew
@@ -259,7 +258,7 @@
                 }
                 _ => member.lease != Lease::Released,
             };
-            let workers: Vec<fleet::Key> = gang
+            let workers: Vec<event::WorkerKey> = gang
                 .members
                 .iter()
                 .filter(|(_worker, member)| due(member) && !member.busy)
@@ -308,7 +307,7 @@
 }
 
 /// A member whose lease has run out on the worker's side.
-fn expired(gang: &Gang, now: u64) -> Option<fleet::Key> {
+fn expired(gang: &Gang, now: u64) -> Option<event::WorkerKey> {
     let lease_ms = gang.lease_ms();
     let over = |confirmed_ms: u64| now >= confirmed_ms + lease_ms;
     let found = gang
--- a/src/agent/gang.rs
+++ b/src/agent/gang.rs
@@ -6,7 +6,6 @@
 use crate::error;
 use crate::ledger;
 use crate::sched::event;
-use crate::sched::fleet;
 use crate::wire::frame;
 
 /// State of the lease on one worker.
@@ -61,7 +60,7 @@
 pub struct Gang {
     pub grant: frame::Grant,
     pub stage: Stage,
-    pub members: BTreeMap<fleet::Key, Member>,
+    pub members: BTreeMap<event::WorkerKey, Member>,
     pub granted_ms: u64,
     pub started_ms: u64,
     pub deadline_ms: u64,
@@ -113,7 +112,7 @@
     }
 
     /// Operation for one member.
-    pub fn op(&self, worker: fleet::Key, verb: Verb) -> Op {
+    pub fn op(&self, worker: event::WorkerKey, verb: Verb) -> Op {
         let tasks = self
             .members
             .get(&worker)
@@ -139,7 +138,7 @@
     }
 
     /// Notes that an operation is on its way to a member.
-    pub fn sending(&mut self, worker: fleet::Key, verb: Verb, now: u64) {
+    pub fn sending(&mut self, worker: event::WorkerKey, verb: Verb, now: u64) {
         let Some(member) = self.members.get_mut(&worker) else {
             return;
         };
--- a/src/config.rs
+++ b/src/config.rs
@@ -5,6 +5,7 @@
 
 pub mod check;
 pub mod diff;
+pub mod draft;
 pub mod parse;
 
 use std::collections::BTreeMap;
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -1,7 +1,7 @@
 //! Checks what a configuration means, once its files could be read.
 
 use crate::config;
-use crate::config::parse;
+use crate::config::draft;
 use crate::sched::bind;
 
 /// Most tasks of a gang.
@@ -14,7 +14,7 @@
 const TOKEN_DIGITS: usize = 64;
 
 /// Adds every fault to the draft.
-pub fn check(draft: &mut parse::Draft) {
+pub fn check(draft: &mut draft::Draft) {
     let config = draft.config.clone();
     weights(draft, &config);
     for (name, account) in &config.accounts {
@@ -31,7 +31,7 @@
     }
 }
 
-fn weights(draft: &mut parse::Draft, config: &config::Config) {
+fn weights(draft: &mut draft::Draft, config: &config::Config) {
     let fields = [
         ("completion", config.weights.completion),
         ("fragmentation", config.weights.fragmentation),
@@ -52,7 +52,7 @@
 }
 
 fn check_account(
-    draft: &mut parse::Draft,
+    draft: &mut draft::Draft,
     config: &config::Config,
     name: &str,
     account: &config::Account,
@@ -102,7 +102,7 @@
 }
 
 fn check_service(
-    draft: &mut parse::Draft,
+    draft: &mut draft::Draft,
     config: &config::Config,
     name: &str,
     service: &config::Service,
@@ -145,7 +145,7 @@
     }
 }
 
-fn check_rack(draft: &mut parse::Draft, name: &str, rack: &config::Rack) {
+fn check_rack(draft: &mut draft::Draft, name: &str, rack: &config::Rack) {
     let mut fault = |field: &str, detail: &str| draft.fault("rack", name, field, detail);
     within(&mut fault, "workers", rack.workers, 1, 1_000);
     if rack.region.is_empty() {
@@ -166,7 +166,7 @@
 }
 
 /// Checks that the declared racks can hold all guaranteed shapes at the same time.
-fn feasibility(draft: &mut parse::Draft, config: &config::Config) {
+fn feasibility(draft: &mut draft::Draft, config: &config::Config) {
     let mut workers = Vec::new();
     for (name, rack) in &config.racks {
         for _worker in 0..rack.workers {
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -1,43 +1,15 @@
 //! Reads configuration files, collecting every fault with file, line and field.
 
-use std::collections::BTreeMap;
-use std::ops::Range;
 use std::path::Path;
 
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 
+use crate::config::draft::{Draft, Place, find};
 use crate::config::{self, check};
 use crate::error;
 
-/// One file of a configuration.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Source {
-    /// Name used in messages.
-    pub name: String,
-    pub text: String,
-}
-
-/// Something wrong in a file.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Fault {
-    pub file: String,
-    /// Line from 1 on.
-    pub line: usize,
-    /// Path of the field, such as `account.rossi.weight`.
-    pub field: String,
-    pub detail: String,
-}
-
-impl std::fmt::Display for Fault {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(
-            f,
-            "{}:{}: {}: {}",
-            self.file, self.line, self.field, self.detail
-        )
-    }
-}
+pub use crate::config::draft::{Fault, Source};
 
 /// Result of parsing: a configuration, or every fault that was found.
 pub type Result<T> = std::result::Result<T, Vec<Fault>>;
@@ -148,22 +120,6 @@
     86_400
 }
 
-/// Where an item was declared, for faults found by later checks.
-#[derive(Clone, Debug)]
-pub struct Place {
-    pub(super) source: usize,
-    pub(super) span: Range<usize>,
-}
-
-/// A configuration with the places of its items.
-#[derive(Debug, Default)]
-pub struct Draft {
-    pub config: config::Config,
-    pub(super) sources: Vec<Source>,
-    pub(super) places: BTreeMap<(&'static str, String), Place>,
-    pub(super) faults: Vec<Fault>,
-}
-
 /// Reads a file, or every `.toml` file of a folder in the order of their names.
 ///
 /// # Errors
@@ -383,44 +339,6 @@
             }
         }
     }
-
-    /// Records where an item stands; false when its name is taken.
-    fn place(&mut self, kind: &'static str, name: &str, source: usize, span: Range<usize>) -> bool {
-        let at = span.start;
-        let place = Place { source, span };
-        let taken = self.places.insert((kind, name.to_owned()), place).is_some();
-        if taken {
-            self.fault_at(source, at, &format!("{kind}.{name}.name"), "declared twice");
-        }
-        !taken
-    }
-
-    /// Records a fault of a declared item.
-    pub(super) fn fault(&mut self, kind: &'static str, name: &str, field: &str, detail: &str) {
-        let parts = [kind, name, field]
-            .into_iter()
-            .filter(|part| !part.is_empty());
-        let path = parts.collect::<Vec<_>>().join(".");
-        let Some(place) = self.places.get(&(kind, name.to_owned())).cloned() else {
-            self.fault_at(0, 0, &path, detail);
-            return;
-        };
-        let at = find(&self.sources[place.source].text, &place.span, field);
-        self.fault_at(place.source, at, &path, detail);
-    }
-
-    fn fault_at(&mut self, source: usize, at: usize, field: &str, detail: &str) {
-        let source = &self.sources[source];
-        let before = source.text.get(..at).unwrap_or_default();
-        let line = before.bytes().filter(|byte| *byte == b'\n').count() + 1;
-        let detail = detail.trim().replace('\n', "; ");
-        self.faults.push(Fault {
-            file: source.name.clone(),
-            line,
-            field: field.to_owned(),
-            detail,
-        });
-    }
 }
 
 fn shape(shape: Shape) -> config::Shape {
@@ -449,22 +367,3 @@
     let found = table.iter().find(|(_key, value)| is_shown(value));
     found.map_or_else(|| "name".to_owned(), |(key, _value)| key.clone())
 }
-
-/// Offset of a field's line inside an item, or of the item.
-fn find(text: &str, span: &Range<usize>, field: &str) -> usize {
-    let field = field.split(['.', '[']).next().unwrap_or(field);
-    let end = text[span.start..]
-        .find("\n[[")
-        .map_or(text.len(), |at| span.start + at)
-        .max(span.end);
-    let body = text.get(span.start..end).unwrap_or_default();
-    let mut at = span.start;
-    for line in body.split_inclusive('\n') {
-        let key = line.split('=').next().unwrap_or_default().trim();
-        if key == field {
-            return at;
-        }
-        at += line.len();
-    }
-    span.start
-}
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,6 +1,5 @@
 //! A control member: consensus, storage, the replicated ledger, and the leader's scheduling.
 
-pub mod admin;
 pub mod daemon;
 pub mod disk;
 pub mod flow;
--- a/src/control/leader/fleet.rs
+++ b/src/control/leader/fleet.rs
@@ -6,7 +6,6 @@
 use crate::control::leader::{Heard, Leader};
 use crate::ledger::{self, Command, Ledger};
 use crate::sched::event::{self, Event};
-use crate::sched::fleet;
 use crate::sched::{JobId, Millis};
 use crate::wire::frame;
 
@@ -28,7 +27,7 @@
 /// A worker as last reported.
 #[derive(Clone, Debug)]
 struct Reported {
-    key: fleet::Key,
+    key: event::WorkerKey,
     aggregator: String,
     leases: Vec<frame::Lease>,
     lost_ms: Option<Millis>,
@@ -119,7 +118,7 @@
         worker: &frame::Worker,
         usage: &mut Vec<event::Usage>,
     ) {
-        let next = fleet::Key(self.fleet.workers.len() as u32);
+        let next = event::WorkerKey(self.fleet.workers.len() as u32);
         let known = self.fleet.workers.get(&worker.name);
         let key = known.map_or(next, |known| known.key);
         let was_up = known.is_some_and(|known| known.is_up);
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -1,5 +1,6 @@
 //! One member's state machine: consensus, ledger, and the leader's duty while it leads.
 
+mod admin;
 mod group;
 mod snapshot;
 
@@ -10,7 +11,6 @@
 use crossbeam::channel;
 
 use crate::clock;
-use crate::control::admin;
 use crate::control::disk;
 use crate::control::flow;
 use crate::control::join;
--- a/src/control/admin.rs
+++ b/src/control/member/admin.rs
@@ -7,8 +7,8 @@
 use crate::control::member::Member;
 use crate::explain;
 use crate::ledger;
+use crate::ledger::burn;
 use crate::raft::node;
-use crate::report;
 use crate::sched::JobId;
 use crate::wire::frame::{Frame, Query};
 
@@ -297,7 +297,7 @@
         .map(|(slot, tally)| {
             let requests = f64::from(tally.good + tally.bad).max(1.0);
             json!({
-                "at_ms": slot * report::SLOT_MS,
+                "at_ms": slot * burn::SLOT_MS,
                 "good": tally.good,
                 "bad": tally.bad,
                 "mean_completion_s": tally.completion_ms as f64 / 1_000.0 / requests,
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -4,6 +4,7 @@
 //! member and every replay comes to the same state. Queries only read.
 
 pub mod apply;
+pub mod burn;
 pub mod command;
 pub mod query;
 
@@ -18,9 +19,7 @@
 use crate::error;
 use crate::flow;
 use crate::raft::Index;
-use crate::report;
 use crate::sched::event;
-use crate::sched::fleet;
 use crate::sched::{JobId, Millis};
 
 pub use command::Command;
@@ -176,14 +175,14 @@
     hash: config::Hash,
     accepted: VecDeque<Accepted>,
     workers: Vec<Worker>,
-    worker_keys: BTreeMap<String, fleet::Key>,
+    worker_keys: BTreeMap<String, event::WorkerKey>,
     agents: BTreeMap<String, Agent>,
     jobs: BTreeMap<JobId, Job>,
     keys: BTreeMap<(String, String), JobId>,
     granted: BTreeMap<String, Vec<JobId>>,
     ended: VecDeque<(Millis, JobId)>,
     next_job: JobId,
-    burn: report::Burn,
+    burn: burn::Burn,
     flow: flow::Book,
 }
 
--- a/src/ledger/command.rs
+++ b/src/ledger/command.rs
@@ -11,7 +11,6 @@
 use crate::flow;
 use crate::ledger::{Form, Request, Result, Stop, Verdict};
 use crate::sched::event;
-use crate::sched::fleet;
 use crate::sched::{JobId, Millis};
 
 /// A change of the replicated state.
@@ -64,9 +63,9 @@
         info: event::Worker,
     },
     /// Records a worker that is no longer heard of.
-    WorkerDown { key: fleet::Key },
+    WorkerDown { key: event::WorkerKey },
     /// Takes a worker out of use or back.
-    Quarantine { key: fleet::Key, on: bool },
+    Quarantine { key: event::WorkerKey, on: bool },
     /// Records an agent that has appeared or restarted.
     Agent {
         name: String,
--- a/src/ledger/query.rs
+++ b/src/ledger/query.rs
@@ -3,11 +3,11 @@
 use crate::config;
 use crate::config::diff;
 use crate::flow;
+use crate::ledger::burn;
 use crate::ledger::{Accepted, Agent, Job, Ledger, Worker};
 use crate::raft::Index;
-use crate::report;
 use crate::sched::JobId;
-use crate::sched::fleet;
+use crate::sched::event;
 
 /// What brings a process to the configuration in force.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -107,12 +107,12 @@
     }
 
     /// A worker.
-    pub fn worker(&self, key: fleet::Key) -> Option<&Worker> {
+    pub fn worker(&self, key: event::WorkerKey) -> Option<&Worker> {
         self.workers.get(key.0 as usize)
     }
 
     /// A worker by name.
-    pub fn worker_key(&self, name: &str) -> Option<fleet::Key> {
+    pub fn worker_key(&self, name: &str) -> Option<event::WorkerKey> {
         self.worker_keys.get(name).copied()
     }
 
@@ -132,7 +132,7 @@
     }
 
     /// Service-level record.
-    pub fn burn(&self) -> &report::Burn {
+    pub fn burn(&self) -> &burn::Burn {
         &self.burn
     }
 }
--- a/src/report/html.rs
+++ b/src/report/html.rs
@@ -5,7 +5,7 @@
 
 use serde_json::Value;
 
-use crate::report;
+use crate::ledger::burn;
 
 const WIDTH: f64 = 640.0;
 const HEIGHT: f64 = 140.0;
@@ -63,7 +63,7 @@
 
 fn lines(out: &mut String, answer: &Value) {
     out.push_str("<h2>Budgets</h2><table><tr><th>Service<th>Account<th>Objective<th>Good<th>Bad<th>Budget left");
-    for (name, _span) in report::WINDOWS {
+    for (name, _span) in burn::WINDOWS {
         let _written = write!(out, "<th>Burn {name}");
     }
     out.push_str("<th>Mean s</tr>");
@@ -95,7 +95,7 @@
         },
         number("budget_left") * 100.0
     );
-    for (name, _span) in report::WINDOWS {
+    for (name, _span) in burn::WINDOWS {
         let burn = line["burn"][name].as_f64().unwrap_or(0.0);
         let class = match burn {
             burn if burn >= 6.0 => "hot",
--- a/src/report/render.rs
+++ b/src/report/render.rs
@@ -4,12 +4,12 @@
 
 use serde_json::Value;
 
-use crate::report;
+use crate::ledger::burn;
 
 /// Renders the report as a table, with the jobs that burnt each budget.
 pub fn table(answer: &Value) -> String {
     let mut out = String::new();
-    let windows: Vec<&str> = report::WINDOWS.iter().map(|(name, _span)| *name).collect();
+    let windows: Vec<&str> = burn::WINDOWS.iter().map(|(name, _span)| *name).collect();
     let mut head = format!(
         "{:16} {:20} {:>9} {:>7} {:>6} {:>9}",
         "SERVICE", "ACCOUNT", "OBJECTIVE", "GOOD", "BAD", "BUDGET"
--- a/src/sched/core.rs
+++ b/src/sched/core.rs
@@ -75,7 +75,7 @@
     started_ms: Millis,
     attempts: u32,
     /// Workers on which it failed.
-    bad: Vec<fleet::Key>,
+    bad: Vec<event::WorkerKey>,
     throttled: bool,
 }
 
@@ -85,7 +85,7 @@
     }
 
     /// What its gang holds on a worker.
-    fn held_on(&self, worker: fleet::Key) -> Resources {
+    fn held_on(&self, worker: event::WorkerKey) -> Resources {
         let members = self
             .state
             .placement()
@@ -238,7 +238,7 @@
     }
 
     /// Takes over a quarantine recorded under an earlier leader; the next probe is due at once.
-    pub fn adopt_quarantine(&mut self, worker: fleet::Key) {
+    pub fn adopt_quarantine(&mut self, worker: event::WorkerKey) {
         self.health.adopt(worker, self.now);
         if let Some(entry) = self.fleet.get_mut(worker) {
             entry.state = fleet::State::Quarantined;
--- a/src/sched/core/borrow.rs
+++ b/src/sched/core/borrow.rs
@@ -201,7 +201,7 @@
             .iter()
             .filter(|found| found.job != key)
             .collect();
-        let room = |worker: fleet::Key, entry: &fleet::Worker| {
+        let room = |worker: event::WorkerKey, entry: &fleet::Worker| {
             if job.bad.contains(&worker) {
                 return Resources::default();
             }
--- a/src/sched/core/consolidate.rs
+++ b/src/sched/core/consolidate.rs
@@ -89,7 +89,7 @@
 
     /// Workers of a rack that hold the gang once their movable residents have left.
     fn vacatable(&self, job: &Job, rack: fleet::RackKey) -> Option<Vec<event::Member>> {
-        let mut offers: Vec<(u32, fleet::Key, u32)> = Vec::new();
+        let mut offers: Vec<(u32, event::WorkerKey, u32)> = Vec::new();
         for key in &self.fleet.rack(rack).workers {
             let worker = self.fleet.get(*key)?;
             if worker.state != fleet::State::Up {
@@ -121,7 +121,7 @@
         None
     }
 
-    fn movable_use(&self, worker: fleet::Key, wide: &Job) -> Resources {
+    fn movable_use(&self, worker: event::WorkerKey, wide: &Job) -> Resources {
         let mut sum = Resources::default();
         let here = self.residents.get(worker.0 as usize).into_iter().flatten();
         for key in here.filter(|key| self.is_movable(**key, wide)) {
@@ -140,7 +140,8 @@
 
     /// Whether the gangs fit on what is free on other workers.
     fn fit_elsewhere(&self, victims: &[JobKey], placement: &event::Placement) -> bool {
-        let taken = |key: fleet::Key| placement.members.iter().any(|member| member.worker == key);
+        let taken =
+            |key: event::WorkerKey| placement.members.iter().any(|member| member.worker == key);
         let mut free: Vec<Resources> = self
             .fleet
             .iter()
--- a/src/sched/core/dispatch.rs
+++ b/src/sched/core/dispatch.rs
@@ -78,7 +78,7 @@
     }
 
     /// Whether a claim still waits for others to leave a worker; later claims do not count.
-    fn is_awaited(&self, key: JobKey, worker: fleet::Key) -> bool {
+    fn is_awaited(&self, key: JobKey, worker: event::WorkerKey) -> bool {
         let Some(entry) = self.fleet.get(worker) else {
             return true;
         };
@@ -248,7 +248,7 @@
         &self,
         placement: &event::Placement,
         spec: &event::Spec,
-    ) -> Vec<(fleet::Key, Resources)> {
+    ) -> Vec<(event::WorkerKey, Resources)> {
         let mut missing = Vec::new();
         for member in &placement.members {
             let Some(worker) = self.fleet.get(member.worker) else {
@@ -266,7 +266,7 @@
     }
 
     /// Resources of gangs that are being stopped on a worker.
-    fn leaving(&self, key: fleet::Key) -> Resources {
+    fn leaving(&self, key: event::WorkerKey) -> Resources {
         let mut sum = Resources::default();
         let here = self.residents.get(key.0 as usize).into_iter().flatten();
         for job in here.map(|job| &self.jobs[*job]) {
@@ -277,7 +277,10 @@
         sum
     }
 
-    fn candidates(&self, missing: &[(fleet::Key, Resources)]) -> Vec<reclaim::Candidate<JobKey>> {
+    fn candidates(
+        &self,
+        missing: &[(event::WorkerKey, Resources)],
+    ) -> Vec<reclaim::Candidate<JobKey>> {
         let mut keys: Vec<JobKey> = Vec::new();
         for (worker, _amount) in missing {
             let here = self.residents.get(worker.0 as usize).into_iter().flatten();
--- a/src/sched/core/lifecycle.rs
+++ b/src/sched/core/lifecycle.rs
@@ -80,7 +80,7 @@
         self.freed();
     }
 
-    pub(super) fn worker_down<G: Gate>(&mut self, key: fleet::Key, gate: &mut G) {
+    pub(super) fn worker_down<G: Gate>(&mut self, key: event::WorkerKey, gate: &mut G) {
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
@@ -242,7 +242,7 @@
         self.remove(key);
     }
 
-    fn recover(&mut self, key: fleet::Key) {
+    fn recover(&mut self, key: event::WorkerKey) {
         if let Some(worker) = self.fleet.get_mut(key)
             && worker.state == fleet::State::Quarantined
         {
@@ -288,11 +288,11 @@
         &mut self,
         key: JobKey,
         placement: &event::Placement,
-        worker: Option<fleet::Key>,
+        worker: Option<event::WorkerKey>,
         ran: bool,
     ) {
         let members = placement.members.iter().map(|member| member.worker);
-        let blamed: Vec<fleet::Key> = match worker {
+        let blamed: Vec<event::WorkerKey> = match worker {
             Some(worker) => vec![worker],
             None => members.collect(),
         };
@@ -326,7 +326,7 @@
         }
     }
 
-    fn quarantine(&mut self, key: fleet::Key, failures: u32, until_ms: Millis) {
+    fn quarantine(&mut self, key: event::WorkerKey, failures: u32, until_ms: Millis) {
         if let Some(worker) = self.fleet.get_mut(key)
             && worker.state == fleet::State::Up
         {
@@ -341,7 +341,7 @@
         });
     }
 
-    fn lost(&mut self, key: JobKey, worker: Option<fleet::Key>, ran: bool) {
+    fn lost(&mut self, key: JobKey, worker: Option<event::WorkerKey>, ran: bool) {
         let job = &self.jobs[key];
         let id = job.spec.id;
         if job.spec.repeatable || !ran {
@@ -458,7 +458,7 @@
 
     /// Meets memory overuse: throttles the worst gang of a crowded worker, stops it the next time.
     pub(super) fn usage(&mut self, usage: &[event::Usage]) {
-        let mut workers: Vec<fleet::Key> = usage.iter().map(|entry| entry.worker).collect();
+        let mut workers: Vec<event::WorkerKey> = usage.iter().map(|entry| entry.worker).collect();
         workers.sort_unstable();
         workers.dedup();
         for worker in workers {
--- a/src/sched/event.rs
+++ b/src/sched/event.rs
@@ -6,13 +6,18 @@
 
 use crate::config;
 use crate::error;
-use crate::sched::fleet;
 use crate::sched::{JobId, Millis};
 
+/// Key of a worker in the arena; the ledger gives them out densely from zero on.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct WorkerKey(pub u32);
+
 /// A worker as it announces itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Worker {
-    pub key: fleet::Key,
+    pub key: WorkerKey,
     pub region: String,
     pub domain: String,
     pub rack: String,
@@ -40,7 +45,7 @@
 /// Tasks of a gang on one worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
-    pub worker: fleet::Key,
+    pub worker: WorkerKey,
     pub tasks: u32,
 }
 
@@ -52,7 +57,7 @@
     /// Which of the shape's gangs.
     pub number: u32,
     /// Worker that each cell is bound to.
-    pub workers: Vec<Option<fleet::Key>>,
+    pub workers: Vec<Option<WorkerKey>>,
     /// Tasks of the job in each cell.
     pub tasks: Vec<u32>,
 }
@@ -79,14 +84,14 @@
     Done,
     /// The work failed; the worker is named when it alone was at fault.
     Failed {
-        worker: Option<fleet::Key>,
+        worker: Option<WorkerKey>,
         ran: bool,
     },
     /// It was stopped on request.
     Stopped { ran: bool },
     /// A member was lost, or the gang could not be started for another reason.
     Lost {
-        worker: Option<fleet::Key>,
+        worker: Option<WorkerKey>,
         ran: bool,
     },
 }
@@ -95,7 +100,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Usage {
     pub job: JobId,
-    pub worker: fleet::Key,
+    pub worker: WorkerKey,
     pub memory_gb: u32,
 }
 
@@ -104,7 +109,7 @@
 pub enum Event {
     Configure(Arc<config::Config>),
     WorkerUp(Worker),
-    WorkerDown(fleet::Key),
+    WorkerDown(WorkerKey),
     Submit(Spec),
     /// A gang that runs already, told by the ledger after a change of leader.
     Adopt {
@@ -168,7 +173,7 @@
     },
     /// Takes a worker out of use for a time, or back into use.
     Quarantine {
-        worker: fleet::Key,
+        worker: WorkerKey,
         on: bool,
         reason: Reason,
     },
@@ -238,14 +243,14 @@
     /// Failed and is tried elsewhere.
     Retried {
         attempt: u32,
-        worker: Option<fleet::Key>,
+        worker: Option<WorkerKey>,
     },
     /// Failed on several sets of workers.
     FailsEverywhere { attempts: u32 },
     /// Stopped part of the way and must not run again.
     NotRepeatable { cause: Cause },
     /// A worker of the gang was lost.
-    WorkerLost { worker: Option<fleet::Key> },
+    WorkerLost { worker: Option<WorkerKey> },
     /// Uses more memory than declared.
     Overuse { used_gb: u32, declared_gb: u32 },
     /// The worker failed several different jobs in a row.
--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -1,22 +1,14 @@
 //! The workers, by rack and region, and what is in use on each.
 
-use serde::{Deserialize, Serialize};
-
 use crate::config::Resources;
 use crate::map;
 use crate::sched::event;
 
-/// Key of a worker in the arena; the ledger gives them out densely from zero on.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct Key(pub u32);
-
-/// Key of a rack.
+/// event::WorkerKey of a rack.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RackKey(pub u32);
 
-/// Key of a region.
+/// event::WorkerKey of a region.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RegionKey(pub u32);
 
@@ -84,7 +76,7 @@
 pub struct Rack {
     pub name: String,
     pub region: RegionKey,
-    pub workers: Vec<Key>,
+    pub workers: Vec<event::WorkerKey>,
 }
 
 /// A region and its racks.
@@ -145,19 +137,19 @@
     }
 
     /// A worker.
-    pub fn get(&self, key: Key) -> Option<&Worker> {
+    pub fn get(&self, key: event::WorkerKey) -> Option<&Worker> {
         self.workers.get(key.0 as usize)?.as_ref()
     }
 
     /// A worker, to be changed.
-    pub fn get_mut(&mut self, key: Key) -> Option<&mut Worker> {
+    pub fn get_mut(&mut self, key: event::WorkerKey) -> Option<&mut Worker> {
         self.workers.get_mut(key.0 as usize)?.as_mut()
     }
 
     /// All workers in the order of their keys.
-    pub fn iter(&self) -> impl Iterator<Item = (Key, &Worker)> {
+    pub fn iter(&self) -> impl Iterator<Item = (event::WorkerKey, &Worker)> {
         let indexed = self.workers.iter().enumerate();
-        indexed.filter_map(|(at, worker)| Some((Key(at as u32), worker.as_ref()?)))
+        indexed.filter_map(|(at, worker)| Some((event::WorkerKey(at as u32), worker.as_ref()?)))
     }
 
     /// All racks.
@@ -180,7 +172,7 @@
         &self.regions[key.0 as usize]
     }
 
-    /// Key of a region by name, if any worker ever was in it.
+    /// event::WorkerKey of a region by name, if any worker ever was in it.
     pub fn find_region(&self, name: &str) -> Option<RegionKey> {
         self.region_keys.get(name).copied()
     }
--- a/src/sched/gang.rs
+++ b/src/sched/gang.rs
@@ -50,7 +50,7 @@
 /// A possible use of one worker.
 #[derive(Clone, Copy, Debug)]
 struct Offer {
-    key: fleet::Key,
+    key: event::WorkerKey,
     times: u32,
     cost: Cost,
 }
@@ -59,7 +59,7 @@
 pub fn plan(
     fleet: &fleet::Fleet,
     ask: &Ask<'_>,
-    room: impl Fn(fleet::Key, &fleet::Worker) -> Resources,
+    room: impl Fn(event::WorkerKey, &fleet::Worker) -> Resources,
 ) -> Option<(Vec<event::Member>, Cost)> {
     ask.regions
         .iter()
@@ -110,7 +110,7 @@
     fleet: &fleet::Fleet,
     ask: &Ask<'_>,
     region: fleet::RegionKey,
-    room: &impl Fn(fleet::Key, &fleet::Worker) -> Resources,
+    room: &impl Fn(event::WorkerKey, &fleet::Worker) -> Resources,
 ) -> Option<(Vec<event::Member>, Cost)> {
     let mut best: Option<(Vec<event::Member>, Cost)> = None;
     let mut of_region: Vec<Offer> = Vec::new();
@@ -158,7 +158,7 @@
     fleet: &fleet::Fleet,
     ask: &Ask<'_>,
     rack: fleet::RackKey,
-    room: &impl Fn(fleet::Key, &fleet::Worker) -> Resources,
+    room: &impl Fn(event::WorkerKey, &fleet::Worker) -> Resources,
 ) -> Vec<Offer> {
     let mut offers = Vec::new();
     for key in &fleet.rack(rack).workers {
@@ -281,7 +281,7 @@
 
 /// Most tasks that an empty fleet could hold at once within the scope.
 pub fn most(fleet: &fleet::Fleet, each: &Resources, within: Within, limit: u32) -> u32 {
-    let times = |key: &fleet::Key| {
+    let times = |key: &event::WorkerKey| {
         fleet
             .get(*key)
             .map_or(0, |worker| worker.total.times(each, limit))
--- a/src/sched/guarantee.rs
+++ b/src/sched/guarantee.rs
@@ -22,7 +22,7 @@
 /// A share of one worker that belongs to a guaranteed gang.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Cell {
-    pub worker: Option<fleet::Key>,
+    pub worker: Option<event::WorkerKey>,
     pub used: Resources,
 }
 
@@ -71,7 +71,7 @@
 
 /// Workers in the order that the packing uses.
 struct Sites {
-    keys: Vec<fleet::Key>,
+    keys: Vec<event::WorkerKey>,
     pool: bind::Pool,
 }
 
@@ -162,7 +162,7 @@
     }
 
     /// Takes cells off a worker that no longer takes gangs; cells in use stay while it is not down.
-    pub fn worker_unfit(&mut self, fleet: &mut fleet::Fleet, key: fleet::Key, down: bool) {
+    pub fn worker_unfit(&mut self, fleet: &mut fleet::Fleet, key: event::WorkerKey, down: bool) {
         for gang in &mut self.gangs {
             let each = gang.form.each;
             for cell in &mut gang.cells {
@@ -175,7 +175,7 @@
     }
 
     /// Takes a worker's unused cells off when it has come back smaller, and binds what is missing.
-    pub fn worker_fit(&mut self, fleet: &mut fleet::Fleet, key: fleet::Key) {
+    pub fn worker_fit(&mut self, fleet: &mut fleet::Fleet, key: event::WorkerKey) {
         let shrunk = fleet
             .get(key)
             .is_some_and(|worker| !worker.total.fits(&worker.bound));
@@ -409,7 +409,7 @@
         &mut self,
         fleet: &mut fleet::Fleet,
         which: &[usize],
-        keys: &[fleet::Key],
+        keys: &[event::WorkerKey],
         placed: Vec<Option<Vec<usize>>>,
     ) {
         for (at, sites) in which.iter().zip(placed) {
@@ -441,7 +441,7 @@
             .and_then(|key| fleet.get(key))
             .map(|worker| (worker.region, worker.rack));
         let within = gang.form.within;
-        let reach = |key: fleet::Key, worker: &fleet::Worker| match (within, scope) {
+        let reach = |key: event::WorkerKey, worker: &fleet::Worker| match (within, scope) {
             (_, None) => true,
             (Within::Worker, Some(_)) => Some(key) == anchor,
             (Within::Rack, Some((_region, rack))) => worker.rack == rack,
@@ -476,7 +476,7 @@
 
     /// Recomputes what must not be lent because a gang has lost other cells.
     fn refresh_blocked(&self, fleet: &mut fleet::Fleet) {
-        let keys: Vec<fleet::Key> = fleet
+        let keys: Vec<event::WorkerKey> = fleet
             .iter()
             .filter(|(_key, worker)| !worker.blocked.is_zero())
             .map(|(key, _worker)| key)
@@ -514,7 +514,7 @@
     }
 }
 
-fn bind_cell(fleet: &mut fleet::Fleet, cell: &mut Cell, key: fleet::Key, each: Resources) {
+fn bind_cell(fleet: &mut fleet::Fleet, cell: &mut Cell, key: event::WorkerKey, each: Resources) {
     let Some(worker) = fleet.get_mut(key) else {
         return;
     };
@@ -546,7 +546,7 @@
 
 fn sites_where(
     fleet: &fleet::Fleet,
-    admits: impl Fn(fleet::Key, &fleet::Worker) -> bool,
+    admits: impl Fn(event::WorkerKey, &fleet::Worker) -> bool,
     free: impl Fn(&fleet::Worker) -> Resources,
 ) -> Sites {
     let mut keys = Vec::new();
--- a/src/sched/guarantee/claim.rs
+++ b/src/sched/guarantee/claim.rs
@@ -14,7 +14,7 @@
 pub struct Plan {
     pub placement: event::Placement,
     /// Resources that must be vacated, by worker.
-    pub missing: Vec<(fleet::Key, Resources)>,
+    pub missing: Vec<(event::WorkerKey, Resources)>,
 }
 
 impl Plan {
@@ -39,7 +39,7 @@
     scope: u32,
     gang: usize,
     cell: usize,
-    worker: fleet::Key,
+    worker: event::WorkerKey,
     times: u32,
     /// Tasks that fit without vacating anything.
     free_times: u32,
@@ -237,18 +237,19 @@
         regions: &[fleet::RegionKey],
     ) -> bool {
         let each = self.gangs[at].form.each;
-        let old: Vec<Option<fleet::Key>> = self.gangs[at]
+        let old: Vec<Option<event::WorkerKey>> = self.gangs[at]
             .cells
             .iter()
             .map(|cell| cell.worker)
             .collect();
         self.unbind_gang(fleet, at);
-        let admits = |_key: fleet::Key, worker: &fleet::Worker| regions.contains(&worker.region);
+        let admits =
+            |_key: event::WorkerKey, worker: &fleet::Worker| regions.contains(&worker.region);
         let free = |worker: &fleet::Worker| worker.bindable().min(&worker.free());
         let mut sites = sites_where(fleet, admits, free);
         let found = sites.pool.place(&self.gangs[at].need(fleet));
         let moved = found.is_some();
-        let to: Vec<Option<fleet::Key>> = match found {
+        let to: Vec<Option<event::WorkerKey>> = match found {
             Some(slots) => slots
                 .into_iter()
                 .map(|slot| Some(sites.keys[slot]))
@@ -298,7 +299,7 @@
 
     fn is_free(&self, fleet: &fleet::Fleet, at: usize, regions: &[fleet::RegionKey]) -> bool {
         let gang = &self.gangs[at];
-        let mut need: map::Map<fleet::Key, u32> = map::Map::default();
+        let mut need: map::Map<event::WorkerKey, u32> = map::Map::default();
         for key in gang.cells.iter().filter_map(|cell| cell.worker) {
             *need.entry(key).or_default() += 1;
         }
--- a/src/sched/health.rs
+++ b/src/sched/health.rs
@@ -6,7 +6,6 @@
 
 use crate::map;
 use crate::sched::event;
-use crate::sched::fleet;
 use crate::sched::{JobId, Millis};
 
 /// Different jobs that must fail in a row on a worker.
@@ -37,12 +36,12 @@
 /// Failure history of the workers.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
-    records: map::Map<fleet::Key, Record>,
+    records: map::Map<event::WorkerKey, Record>,
 }
 
 impl Book {
     /// Clears the workers of a gang that was done; returns those that leave quarantine.
-    pub fn passed(&mut self, members: &[event::Member]) -> Vec<fleet::Key> {
+    pub fn passed(&mut self, members: &[event::Member]) -> Vec<event::WorkerKey> {
         let mut recovered = Vec::new();
         for member in members {
             let Some(record) = self.records.remove(&member.worker) else {
@@ -59,9 +58,9 @@
     pub fn failed(
         &mut self,
         job: JobId,
-        workers: &[fleet::Key],
+        workers: &[event::WorkerKey],
         now: Millis,
-    ) -> Vec<(fleet::Key, u32, Millis)> {
+    ) -> Vec<(event::WorkerKey, u32, Millis)> {
         let mut unfit = Vec::new();
         for worker in workers {
             let record = self.records.entry(*worker).or_default();
@@ -89,7 +88,7 @@
     }
 
     /// Withdraws the blame for a job that fails everywhere; returns workers that are cleared by it.
-    pub fn withdraw(&mut self, job: JobId) -> Vec<fleet::Key> {
+    pub fn withdraw(&mut self, job: JobId) -> Vec<event::WorkerKey> {
         let mut cleared = Vec::new();
         for (worker, record) in &mut self.records {
             let before = record.blame.len();
@@ -104,7 +103,7 @@
     }
 
     /// Takes over a quarantine that the ledger knows of.
-    pub fn adopt(&mut self, worker: fleet::Key, now: Millis) {
+    pub fn adopt(&mut self, worker: event::WorkerKey, now: Millis) {
         let record = self.records.entry(worker).or_default();
         record.quarantine = Some(Quarantine {
             until_ms: now,
@@ -113,20 +112,20 @@
     }
 
     /// Whether a worker is in quarantine.
-    pub fn is_quarantined(&self, worker: fleet::Key) -> bool {
+    pub fn is_quarantined(&self, worker: event::WorkerKey) -> bool {
         self.records
             .get(&worker)
             .is_some_and(|record| record.quarantine.is_some())
     }
 
     /// Quarantined workers whose next probe is due.
-    pub fn due(&self, now: Millis) -> Vec<fleet::Key> {
+    pub fn due(&self, now: Millis) -> Vec<event::WorkerKey> {
         let is_due = |record: &Record| {
             record
                 .quarantine
                 .is_some_and(|quarantine| quarantine.until_ms <= now)
         };
-        let mut due: Vec<fleet::Key> = self
+        let mut due: Vec<event::WorkerKey> = self
             .records
             .iter()
             .filter(|(_worker, record)| is_due(record))
@@ -137,7 +136,7 @@
     }
 
     /// Puts off the next probe while one is running.
-    pub fn probing(&mut self, worker: fleet::Key, now: Millis) {
+    pub fn probing(&mut self, worker: event::WorkerKey, now: Millis) {
         if let Some(quarantine) = self
             .records
             .get_mut(&worker)
--- a/src/sched/measure.rs
+++ b/src/sched/measure.rs
@@ -1,6 +1,7 @@
 //! The fragmentation measure: free accelerators that the largest guaranteed shape cannot use.
 
 use crate::config::{self, Within};
+use crate::sched::event;
 use crate::sched::fleet;
 
 /// Gangs of a shape that fit into what is free, counted scope by scope.
@@ -16,7 +17,7 @@
         if region.is_some_and(|region| region != rack.region) {
             continue;
         }
-        let times = |key: &fleet::Key| match fleet.get(*key) {
+        let times = |key: &event::WorkerKey| match fleet.get(*key) {
             Some(worker) => worker.lendable().times(&shape.each, u32::MAX),
             None => 0,
         };
--- a/src/sched/reclaim.rs
+++ b/src/sched/reclaim.rs
@@ -1,7 +1,7 @@
 //! Choosing who gives way to a guarantee: the cheapest set of whole borrowed gangs.
 
 use crate::config::Resources;
-use crate::sched::fleet;
+use crate::sched::event;
 
 /// Scale at which cost is divided by gain.
 const SCALE: u128 = 1_000_000;
@@ -11,7 +11,7 @@
 pub struct Candidate<K> {
     pub job: K,
     /// What it holds on each worker.
-    pub holds: Vec<(fleet::Key, Resources)>,
+    pub holds: Vec<(event::WorkerKey, Resources)>,
     /// Cost of stopping it, in accelerator-milliseconds of lost work.
     pub cost: u64,
 }
@@ -21,11 +21,11 @@
 /// Greedy by cost for each accelerator vacated where it is missing, then drops every gang that the
 /// others make needless, the dearest first.
 pub fn choose<K: Copy + PartialEq>(
-    missing: &[(fleet::Key, Resources)],
+    missing: &[(event::WorkerKey, Resources)],
     candidates: &[Candidate<K>],
 ) -> Option<Vec<K>> {
     let mut chosen: Vec<&Candidate<K>> = Vec::new();
-    let mut left: Vec<(fleet::Key, Resources)> = missing.to_vec();
+    let mut left: Vec<(event::WorkerKey, Resources)> = missing.to_vec();
     while left.iter().any(|(_key, amount)| !amount.is_zero()) {
         let open = candidates
             .iter()
@@ -45,7 +45,7 @@
 }
 
 /// How much of what is missing a gang would vacate, weighing accelerators most.
-fn gain(left: &[(fleet::Key, Resources)], candidate: &Candidate<impl Copy>) -> u64 {
+fn gain(left: &[(event::WorkerKey, Resources)], candidate: &Candidate<impl Copy>) -> u64 {
     let mut sum = 0;
     for (key, held) in &candidate.holds {
         for (_key, amount) in left.iter().filter(|(other, _amount)| other == key) {
@@ -57,7 +57,7 @@
     sum
 }
 
-fn subtract(left: &mut [(fleet::Key, Resources)], candidate: &Candidate<impl Copy>) {
+fn subtract(left: &mut [(event::WorkerKey, Resources)], candidate: &Candidate<impl Copy>) {
     for (key, held) in &candidate.holds {
         for (_key, amount) in left.iter_mut().filter(|(other, _amount)| other == key) {
             *amount = amount.less(held);
@@ -66,7 +66,7 @@
 }
 
 fn prune<K: Copy + PartialEq>(
-    missing: &[(fleet::Key, Resources)],
+    missing: &[(event::WorkerKey, Resources)],
     chosen: &mut Vec<&Candidate<K>>,
 ) {
     let mut order: Vec<K> = chosen.iter().map(|candidate| candidate.job).collect();
--- a/src/sched/reserve.rs
+++ b/src/sched/reserve.rs
@@ -22,12 +22,12 @@
     /// When the gang is expected to start.
     pub date: Millis,
     /// What a gang that runs past the date may still use of each reserved worker.
-    spare: map::Map<fleet::Key, Resources>,
+    spare: map::Map<event::WorkerKey, Resources>,
 }
 
 impl<K> Reservation<K> {
     /// What a job that ends at a time may use of a worker.
-    pub fn room(&self, key: fleet::Key, lendable: Resources, ends_ms: Millis) -> Resources {
+    pub fn room(&self, key: event::WorkerKey, lendable: Resources, ends_ms: Millis) -> Resources {
         match self.spare.get(&key) {
             Some(spare) if ends_ms > self.date => lendable.min(spare),
             _ => lendable,
@@ -133,7 +133,12 @@
         *self.room_of(scope_of(ask.within, member.worker, worker)) += after - before;
     }
 
-    fn full(&self, fleet: &fleet::Fleet, ask: &gang::Ask<'_>, key: fleet::Key) -> Option<u32> {
+    fn full(
+        &self,
+        fleet: &fleet::Fleet,
+        ask: &gang::Ask<'_>,
+        key: event::WorkerKey,
+    ) -> Option<u32> {
         let scope = scope_of(ask.within, key, fleet.get(key)?);
         (self.room.get(scope as usize).copied().unwrap_or(0) >= ask.tasks).then_some(scope)
     }
@@ -144,8 +149,8 @@
         fleet: &fleet::Fleet,
         ask: &gang::Ask<'_>,
         scope: u32,
-    ) -> map::Map<fleet::Key, Resources> {
-        let mut offers: Vec<(u32, fleet::Key, Resources)> = Vec::new();
+    ) -> map::Map<event::WorkerKey, Resources> {
+        let mut offers: Vec<(u32, event::WorkerKey, Resources)> = Vec::new();
         for (key, worker) in fleet.iter() {
             let free = self.free.get(key.0 as usize).copied().flatten();
             let Some(free) = free.filter(|_free| scope_of(ask.within, key, worker) == scope) else {
@@ -171,7 +176,7 @@
     }
 }
 
-fn scope_of(within: Within, key: fleet::Key, worker: &fleet::Worker) -> u32 {
+fn scope_of(within: Within, key: event::WorkerKey, worker: &fleet::Worker) -> u32 {
     match within {
         Within::Worker => key.0,
         Within::Rack => worker.rack.0,
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -14,7 +14,6 @@
 use crate::raft::members;
 use crate::raft::message;
 use crate::sched::event;
-use crate::sched::fleet;
 use crate::sched::{JobId, Millis};
 
 /// What a process does in the system.
@@ -97,7 +96,7 @@
 /// A member of a gang as its agent needs it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
-    pub worker: fleet::Key,
+    pub worker: event::WorkerKey,
     pub name: String,
     pub addr: SocketAddr,
     pub tasks: u32,
