Commands show jobs of several steps, the workers that run them, and each decision with its reason

For a job that waits, explain adds what it needs, what fits now and what is being vacated. Test: operators.rs, on a running member.

--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -42,6 +42,9 @@
 /// Largest configuration that operators may send.
 const MAX_CONFIG_BYTES: usize = 8 << 20;
 
+/// Digits of the identity of a job of several steps, in hexadecimal; requests have shorter numbers.
+const STEPS_ID_DIGITS: usize = 16;
+
 /// Threads that answer operators.
 const HTTP_THREADS: usize = 16;
 
@@ -322,10 +325,13 @@
                 self.call(&Frame::Change(change))
             }
             ("GET", ["v1", "jobs", id, "decisions"]) => {
-                let id = id
-                    .parse()
-                    .map_err(|_not_a_number| leader::unknown_request())?;
-                self.call(&Frame::Query(frame::Query::Explain(id)))
+                let query = if id.len() == STEPS_ID_DIGITS {
+                    u64::from_str_radix(id, 16).map(frame::Query::ExplainSteps)
+                } else {
+                    id.parse().map(frame::Query::Explain)
+                };
+                let query = query.map_err(|_not_a_number| leader::unknown_request())?;
+                self.call(&Frame::Query(query))
             }
             ("GET", ["v1", name]) => match query(name) {
                 Some(query) => self.call(&Frame::Query(query)),
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -1,6 +1,7 @@
 //! One member's state machine: consensus, ledger, and the leader's duty while it leads.
 
 mod admin;
+mod flow;
 mod group;
 mod snapshot;
 
@@ -12,12 +13,13 @@
 
 use crate::clock;
 use crate::control::disk;
-use crate::control::flow;
+use crate::control::flow::Duty;
 use crate::control::join;
 use crate::control::leader;
 use crate::control::watch;
 use crate::error;
 use crate::flow::message;
+use crate::flow::planner::Planner;
 use crate::ledger;
 use crate::ledger::command;
 use crate::raft::message as raft_message;
@@ -67,7 +69,7 @@
     ledger: ledger::Ledger,
     leader: Option<leader::Leader>,
     /// The leader's duty towards jobs of several steps.
-    duty: Option<flow::Duty>,
+    duty: Option<Duty>,
     joins: join::Joins,
     transport: transport::Transport,
     disk: channel::Sender<disk::Job>,
@@ -140,6 +142,11 @@
         self.leader.as_ref()
     }
 
+    /// The decisions on jobs of several steps, while this member leads.
+    pub fn planner(&self) -> Option<&Planner> {
+        self.duty.as_ref().map(Duty::planner)
+    }
+
     /// Settings, to be read.
     pub fn options(&self) -> &Options {
         &self.options
@@ -352,7 +359,7 @@
             log::info!(term = self.node.term(); "leads");
             let now = clock::wall_ms();
             self.leader = Some(leader::Leader::new(&self.ledger, now, self.options.leader));
-            let mut duty = flow::Duty::new(self.ledger.flow(), self.node.term());
+            let mut duty = Duty::new(self.ledger.flow(), self.node.term());
             duty.set_members(self.addresses());
             self.duty = Some(duty);
         }
--- a/src/control/member/admin.rs
+++ b/src/control/member/admin.rs
@@ -4,7 +4,7 @@
 
 use crate::clock;
 use crate::control::leader;
-use crate::control::member::Member;
+use crate::control::member::{Member, flow};
 use crate::explain;
 use crate::ledger;
 use crate::ledger::burn;
@@ -64,11 +64,23 @@
     match query {
         Query::Status => status(member),
         Query::Accounts => document(&accounts(member, leader)),
-        Query::Jobs => document(&jobs(member.ledger())),
-        Query::Workers => document(&workers(member.ledger(), leader)),
+        Query::Jobs => {
+            let mut all = jobs(member.ledger());
+            all.extend(flow::jobs(member.ledger().flow()));
+            document(&Value::Array(all))
+        }
+        Query::Workers => {
+            let mut all = workers(member.ledger(), leader);
+            all.extend(flow::workers(member));
+            document(&Value::Array(all))
+        }
         Query::Targets => document(&targets(leader)),
         Query::Members => document(&members(member)),
         Query::Explain(job) => decisions(member, None, *job),
+        Query::ExplainSteps(job) => match flow::decisions(member, *job) {
+            Some(value) => document(&value),
+            None => Frame::Fault(leader::unknown_request()),
+        },
         Query::Burn => document(&burn(member, leader)),
         Query::Config => document(&json!(member.ledger().config())),
     }
@@ -164,7 +176,7 @@
     Value::Array(list.collect())
 }
 
-fn jobs(ledger: &ledger::Ledger) -> Value {
+fn jobs(ledger: &ledger::Ledger) -> Vec<Value> {
     let all: Vec<&ledger::Job> = ledger.jobs().collect();
     let from = all.len().saturating_sub(MAX_JOBS);
     let list = all[from..].iter().map(|job| {
@@ -191,11 +203,11 @@
             "kind": job.verdict().and_then(|verdict| verdict.kind),
         })
     });
-    Value::Array(list.collect())
+    list.collect()
 }
 
 /// Who holds which accelerators of each worker, for the list and the picture of the racks.
-fn workers(ledger: &ledger::Ledger, leader: &leader::Leader) -> Value {
+fn workers(ledger: &ledger::Ledger, leader: &leader::Leader) -> Vec<Value> {
     let list = ledger.workers().iter().map(|worker| {
         let key = worker.info.key;
         let entry = leader.sched().fleet().get(key);
@@ -247,7 +259,7 @@
             "kept": kept,
         })
     });
-    Value::Array(list.collect())
+    list.collect()
 }
 
 fn targets(leader: &leader::Leader) -> Value {
--- /dev/null
+++ b/src/control/member/flow.rs
@@ -0,0 +1,107 @@
+//! What operators read of jobs of several steps and of the workers that run them.
+
+use serde_json::{Value, json};
+
+use crate::control::member::Member;
+use crate::flow::book::{Book, Job, State, Worker};
+use crate::flow::{JobId, WorkerKey, explain};
+
+/// Most jobs in one list; the latest are shown.
+const MAX_JOBS: usize = 1_000;
+
+/// The jobs, in the columns of requests.
+pub fn jobs(book: &Book) -> Vec<Value> {
+    let mut jobs: Vec<&Job> = book.jobs().collect();
+    jobs.sort_unstable_by_key(|job| (job.accepted_ms, job.id));
+    let from = jobs.len().saturating_sub(MAX_JOBS);
+    jobs[from..].iter().map(|job| row(book, job)).collect()
+}
+
+fn row(book: &Book, job: &Job) -> Value {
+    let units = || job.units.values();
+    let mut keys: Vec<WorkerKey> = units()
+        .filter_map(|unit| unit.running.as_ref())
+        .flat_map(|running| &running.members)
+        .filter(|member| member.end.is_none())
+        .map(|member| member.worker)
+        .collect();
+    keys.sort_unstable();
+    keys.dedup();
+    let name = |key: &WorkerKey| book.worker(*key).map(|worker| worker.info.name.clone());
+    json!({
+        "job": format!("{:016x}", job.id),
+        "account": job.account,
+        "service": job.queue.service,
+        "queue": job.queue.name,
+        "state": state(job),
+        "attempts": units().map(|unit| unit.run).max(),
+        "units": job.units.len(),
+        "done": units().filter(|unit| unit.done).count(),
+        "workers": keys.iter().filter_map(name).collect::<Vec<_>>(),
+        "submitted_ms": job.accepted_ms,
+    })
+}
+
+fn state(job: &Job) -> &'static str {
+    match job.state {
+        State::Open if job.started => "running",
+        State::Open => "waiting",
+        State::Completed => "completed",
+        State::Failed => "failed",
+        State::Cancelled => "cancelled",
+    }
+}
+
+/// The workers, in the columns of all workers.
+pub fn workers(member: &Member) -> Vec<Value> {
+    let book = member.ledger().flow();
+    book.workers()
+        .map(|(key, worker)| worker_row(member, key, worker))
+        .collect()
+}
+
+fn worker_row(member: &Member, key: WorkerKey, worker: &Worker) -> Value {
+    let free = worker.info.total.less(&worker.used);
+    let planner = member.planner();
+    json!({
+        "name": worker.info.name,
+        "region": worker.info.region,
+        "domain": worker.info.domain,
+        "rack": worker.info.rack,
+        "up": planner.is_some_and(|planner| planner.is_usable(key)),
+        "quarantined": planner.is_some_and(|planner| planner.is_aside(key)),
+        "accelerators": worker.info.total.accelerators,
+        "free_accelerators": free.accelerators,
+        "free_cpus": free.millicpus / 1_000,
+        "free_memory_gb": free.memory_mb / 1_024,
+        "runs": worker.runs.len(),
+        "void": worker.void,
+    })
+}
+
+/// The account of each decision on a job; nothing when there is no such job.
+pub fn decisions(member: &Member, id: JobId) -> Option<Value> {
+    let job = member.ledger().flow().job(id)?;
+    let note = |note: &crate::flow::history::Note| {
+        json!({
+            "at_ms": note.at_ms,
+            "reason": explain::sentence(note),
+            "detail": note.fact,
+        })
+    };
+    let mut decisions: Vec<Value> = job.history.notes().map(note).collect();
+    let now = crate::clock::wall_ms();
+    let why = member.planner().map(|planner| planner.why(id));
+    for reason in why.into_iter().flatten() {
+        decisions.push(json!({ "at_ms": now, "reason": reason, "now": true }));
+    }
+    Some(json!({
+        "request": format!("{id:016x}"),
+        "account": job.account,
+        "service": job.queue.service,
+        "submitted_ms": job.accepted_ms,
+        "state": state(job),
+        "dropped": job.history.dropped(),
+        "decisions": decisions,
+    }))
+}
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -7,6 +7,8 @@
 pub mod book;
 pub mod catalog;
 pub mod command;
+pub mod explain;
+pub mod history;
 pub mod job;
 pub mod message;
 pub mod place;
--- a/src/flow/book.rs
+++ b/src/flow/book.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::flow::catalog;
+use crate::flow::history;
 use crate::flow::job;
 use crate::flow::{JobId, Millis, Run, Task, UnitId, WorkerKey};
 use crate::raft::Index;
@@ -40,14 +41,23 @@
 pub enum Cause {
     /// Its job was cancelled or has failed.
     JobEnded,
-    /// Its room is needed for more urgent work.
-    Reclaimed,
+    /// Its room is needed for a step of a more urgent job.
+    Reclaimed { job: JobId, step: u32 },
     /// Another member of its gang has ended.
     GangBroken,
     /// It makes no progress where it is.
     Stalled,
 }
 
+impl std::fmt::Display for Cause {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Reclaimed { job, step } => write!(f, "Reclaimed for job {job:016x} step {step}"),
+            other => write!(f, "{other:?}"),
+        }
+    }
+}
+
 /// A worker as its agent announces it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Info {
@@ -160,6 +170,7 @@
     pub opened: u32,
     /// By occurrence, step and first task.
     pub units: BTreeMap<(u32, u32, u32), Unit>,
+    pub history: history::History,
 }
 
 impl Job {
--- a/src/flow/book/apply.rs
+++ b/src/flow/book/apply.rs
@@ -2,6 +2,7 @@
 
 use crate::flow::book::{Book, Cause, End, Job, KEPT_BAD, Member, Running, State, Unit, Worker};
 use crate::flow::command::{Accepted, Command};
+use crate::flow::history::{self, Fact, Note};
 use crate::flow::{JobId, Millis, Run, UnitId, WorkerKey};
 use crate::raft::Index;
 
@@ -18,7 +19,7 @@
             Command::Cancel { job } => self.end_job(index, now, job, State::Cancelled),
             Command::Open { job, occurrence } => self.open(now, job, occurrence),
             Command::Place { unit, run, workers } => self.place(index, now, unit, run, &workers),
-            Command::Stop { unit, cause } => self.stop(index, unit, cause),
+            Command::Stop { unit, cause } => self.stop(index, now, unit, cause),
             Command::Ended {
                 worker,
                 number,
@@ -78,6 +79,7 @@
             started: false,
             opened: 0,
             units: std::collections::BTreeMap::new(),
+            history: history::History::default(),
         };
         self.jobs.insert(id, job);
         if !scheduled {
@@ -169,6 +171,16 @@
             placed_ms: now,
             stop: None,
         });
+        let waited_ms = now.saturating_sub(unit.ready_ms);
+        let names = workers.iter().filter_map(|key| self.workers.get(key));
+        let (on, more) = history::name_some(names.map(|worker| worker.info.name.as_str()));
+        let placed = Fact::Placed {
+            run,
+            waited_ms,
+            on,
+            more,
+        };
+        self.note(now, id, placed);
         for (position, key) in workers.iter().enumerate() {
             if let Some(worker) = self.workers.get_mut(key) {
                 worker.used = worker.used.plus(&each);
@@ -183,8 +195,23 @@
         self.active.insert(id);
     }
 
-    fn stop(&mut self, index: Index, id: UnitId, cause: Cause) {
-        let Some(running) = self.unit_mut(id).and_then(|unit| unit.running.as_mut()) else {
+    /// Keeps a fact with its job.
+    fn note(&mut self, now: Millis, unit: UnitId, fact: Fact) {
+        if let Some(job) = self.jobs.get_mut(&unit.job) {
+            job.history.add(Note {
+                at_ms: now,
+                unit,
+                fact,
+            });
+        }
+    }
+
+    fn stop(&mut self, index: Index, now: Millis, id: UnitId, cause: Cause) {
+        let Some(unit) = self.unit_mut(id) else {
+            return;
+        };
+        let run = unit.run;
+        let Some(running) = unit.running.as_mut() else {
             return;
         };
         if running.stop.is_some() {
@@ -193,6 +220,7 @@
         running.stop = Some(cause);
         let members = running.members.iter();
         let workers: Vec<WorkerKey> = members.map(|member| member.worker).collect();
+        self.note(now, id, Fact::Stopped { run, cause });
         for key in workers {
             if let Some(worker) = self.workers.get_mut(&key) {
                 worker.changed = index;
@@ -251,6 +279,9 @@
             worker.used = worker.used.less(&each);
             worker.runs.remove(&run.task);
             worker.changed = index;
+            let on = worker.info.name.clone();
+            let run = run.number;
+            self.note(now, id, Fact::Ended { run, end, on });
         }
         self.settle(index, now, id);
     }
@@ -316,7 +347,7 @@
         let units: Vec<UnitId> = job.units.keys().map(|key| job.unit_id(*key)).collect();
         for unit in units {
             self.ready.remove(&unit);
-            self.stop(index, unit, Cause::JobEnded);
+            self.stop(index, now, unit, Cause::JobEnded);
         }
     }
 
--- a/src/flow/planner.rs
+++ b/src/flow/planner.rs
@@ -5,6 +5,7 @@
 
 mod pass;
 mod watch;
+mod why;
 
 use std::collections::BTreeMap;
 
@@ -442,18 +443,18 @@
             })
             .collect();
         for unit in broken {
-            self.stop(unit, Cause::GangBroken, "");
+            self.stop(unit, Cause::GangBroken);
         }
     }
 
-    /// Orders a run to stop; `why` goes on from the cause in the log.
-    fn stop(&mut self, unit: UnitId, cause: Cause, why: &str) {
+    /// Orders a run to stop.
+    fn stop(&mut self, unit: UnitId, cause: Cause) {
         let running = self.ahead.unit(unit).and_then(|unit| unit.running.as_ref());
         if running.is_none_or(|running| running.stop.is_some()) {
             return;
         }
         log::info!(job:% = format_args!("{:016x}", unit.job), step = unit.step, first = unit.first;
-            "stop: {cause:?}{why}");
+            "stop: {cause}");
         self.push(Command::Stop { unit, cause });
     }
 }
--- a/src/flow/planner/pass.rs
+++ b/src/flow/planner/pass.rs
@@ -228,9 +228,9 @@
             let held = desk.claimed.entry(*worker).or_default();
             *held = held.plus(&step.each);
         }
-        let why = format!(" for job {:016x} step {}", id.job, id.step);
+        let (job, step) = (id.job, id.step);
         for unit in stopped {
-            self.stop(unit, Cause::Reclaimed, &why);
+            self.stop(unit, Cause::Reclaimed { job, step });
         }
         let until_ms = self.now + CLAIM_MS;
         self.claims.insert(id, Claim { workers, until_ms });
@@ -278,7 +278,8 @@
         offers
     }
 
-    fn is_usable(&self, key: WorkerKey) -> bool {
+    /// Whether a worker may get something now.
+    pub fn is_usable(&self, key: WorkerKey) -> bool {
         if self.ahead.worker(key).is_none_or(|worker| worker.void) {
             return false;
         }
--- a/src/flow/planner/watch.rs
+++ b/src/flow/planner/watch.rs
@@ -55,6 +55,12 @@
         }
     }
 
+    /// Whether a worker is put aside.
+    pub fn is_aside(&self, key: WorkerKey) -> bool {
+        let seen = self.seen.get(&key);
+        seen.is_some_and(|seen| self.now < seen.quarantined_ms)
+    }
+
     /// Whether the last run to end on a worker by itself has failed.
     pub(super) fn is_doubtful(&self, key: WorkerKey) -> bool {
         self.seen
@@ -98,7 +104,7 @@
             for key in workers {
                 self.put_aside(key);
             }
-            self.stop(unit, Cause::Stalled, "");
+            self.stop(unit, Cause::Stalled);
         }
     }
 
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -209,6 +209,8 @@
     Targets,
     Members,
     Explain(JobId),
+    /// The same for a job of several steps.
+    ExplainSteps(flow::JobId),
     Burn,
     Config,
 }
--- /dev/null
+++ b/tests/tests/operators.rs
@@ -0,0 +1,206 @@
+//! What operators are shown of jobs of several steps, from a running control member.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use oriolereel::console::Console;
+use oriolereel::control::daemon;
+use oriolereel::control::group::Group;
+use oriolereel::dev;
+use oriolereel::flow::book::Info;
+use oriolereel::flow::catalog::{Account, Catalog, Queue};
+use oriolereel::flow::job::{Amount, Form, Step};
+use oriolereel::flow::message::{Act, Answer, Call, Poll, Reply, Report, Request};
+use oriolereel::wire::Frame;
+use serde_json::Value;
+
+use crate::cluster::PATIENCE;
+
+const TOKEN: &str = "operator-test";
+
+/// Tasks of the job; one more than fit.
+const TASKS: u32 = 3;
+
+struct System {
+    _dir: tempfile::TempDir,
+    member: daemon::Daemon,
+    group: Group,
+}
+
+impl System {
+    fn start() -> Self {
+        let dir = tempfile::tempdir().expect("a work directory");
+        let kept = dev::Reservation::take().expect("a free address");
+        let voters = BTreeMap::from([(1, kept.addr())]);
+        daemon::init(dir.path(), 1, voters).expect("a new folder");
+        let member = daemon::start(daemon::Options {
+            id: 1,
+            name: "control-1".to_owned(),
+            region: "east".to_owned(),
+            listen: kept.addr(),
+            http: dev::loopback(0),
+            data: dir.path().to_path_buf(),
+            operator_token: TOKEN.to_owned(),
+            retention: Duration::from_secs(60),
+            delay: Duration::ZERO,
+        });
+        let member = member.expect("free addresses");
+        let group = member.group().clone();
+        Self {
+            _dir: dir,
+            member,
+            group,
+        }
+    }
+
+    fn call(&self, call: Call) -> Frame {
+        self.group
+            .call(&Frame::Flow(call), Duration::ZERO, PATIENCE)
+            .expect("a leader")
+    }
+
+    fn get(&self, path: &str) -> Value {
+        let console = Console {
+            control: vec![self.member.http],
+            operator_token: TOKEN.to_owned(),
+        };
+        console.get(path).expect("an answer")
+    }
+
+    fn declare(&self) {
+        let queue = Queue {
+            name: "plans".to_owned(),
+            host: "h".to_owned(),
+            prefix: "/plans/".to_owned(),
+            service: "desk".to_owned(),
+            priority: 1,
+            max_attempts: 3,
+            slack_percent: 300,
+            target_ms: 1_000,
+            public: false,
+        };
+        let account = Account {
+            name: "acme".to_owned(),
+            keys: vec!["key".to_owned()],
+            guaranteed: 0,
+        };
+        self.call(Call::Declare(Box::new(Catalog {
+            version: 1,
+            document: Bytes::new(),
+            queues: vec![queue],
+            accounts: vec![account],
+        })));
+    }
+
+    fn submit(&self) {
+        let step = Step {
+            count: TASKS,
+            each: Amount {
+                millicpus: 1_000,
+                memory_mb: 1_000,
+                accelerators: 4,
+            },
+            estimate_ms: 5_000,
+            ..Step::default()
+        };
+        let form = Form {
+            payload: Bytes::from_static(b"work"),
+            steps: vec![step],
+            schedule: None,
+        };
+        let request = Request {
+            host: "h".to_owned(),
+            path: "/plans/00000000000000aa".to_owned(),
+            key: Some("key".to_owned()),
+            act: Act::Submit(Box::new(form)),
+        };
+        let answer = self.call(Call::Request(request));
+        assert_eq!(answer, Frame::FlowReply(Reply::Answer(Answer::Accepted)));
+    }
+
+    /// Tells the leader of a worker that answers and runs nothing, as its agent would.
+    fn report(&self) {
+        let info = Info {
+            name: "w1".to_owned(),
+            born: 1,
+            instance: "side-1".to_owned(),
+            service: "desk".to_owned(),
+            region: "east".to_owned(),
+            domain: "east-a".to_owned(),
+            rack: "r1".to_owned(),
+            total: Amount {
+                millicpus: 32_000,
+                memory_mb: 64_000,
+                accelerators: 8,
+            },
+            ..Info::default()
+        };
+        let report = Report {
+            instance: "side-1".to_owned(),
+            info,
+            answers: true,
+            ..Report::default()
+        };
+        self.call(Call::Report(Box::new(report)));
+        let poll = Poll {
+            instance: "side-1".to_owned(),
+            worker: Some(("w1".to_owned(), 1)),
+            seen: 0,
+            wait_ms: 0,
+            known: Vec::new(),
+        };
+        self.call(Call::Poll(poll));
+    }
+
+    /// Reads until something is so.
+    fn shows(&self, path: &str, so: impl Fn(&Value) -> bool) -> Value {
+        let start = Instant::now();
+        loop {
+            let value = self.get(path);
+            if so(&value) {
+                return value;
+            }
+            assert!(start.elapsed() < PATIENCE, "{path} stays at {value:#}");
+            self.report();
+        }
+    }
+}
+
+#[test]
+fn jobs_workers_and_decisions_are_shown_in_the_columns_of_requests() {
+    let system = System::start();
+    system.declare();
+    system.submit();
+    let waiting = system.get("/v1/jobs/00000000000000aa/decisions");
+    let reason = waiting["decisions"][0]["reason"]
+        .as_str()
+        .expect("a reason");
+    assert!(reason.contains("3 tasks wait"), "{reason}");
+    system.report();
+    let jobs = system.shows("/v1/jobs", |jobs| jobs[0]["state"] == "running");
+    assert_eq!(jobs[0]["job"], "00000000000000aa");
+    assert_eq!(jobs[0]["account"], "acme");
+    assert_eq!(jobs[0]["workers"], serde_json::json!(["w1"]));
+    let workers = system.shows("/v1/workers", |workers| workers[0]["runs"] == 2);
+    assert_eq!(workers[0]["name"], "w1");
+    assert_eq!(workers[0]["free_accelerators"], 0);
+    let told = system.get("/v1/jobs/00000000000000aa/decisions");
+    let reasons: Vec<&str> = told["decisions"]
+        .as_array()
+        .expect("a list")
+        .iter()
+        .filter_map(|decision| decision["reason"].as_str())
+        .collect();
+    let placed = reasons
+        .iter()
+        .filter(|reason| reason.contains("placed on w1"));
+    assert_eq!(placed.count(), 2, "{reasons:?}");
+    let waits = reasons
+        .iter()
+        .find(|reason| reason.contains("1 tasks wait"));
+    assert!(
+        waits.is_some_and(|reason| reason.contains("0 fit on the workers of desk")),
+        "{reasons:?}"
+    );
+}
