One copy of encoding, of starting a reactor, of the uplink's address; long files split

codec, reactor and settings::Uplink stand for what was written twice; an HTTP handler is ready unless it says otherwise.

--- a/src/backend/target.rs
+++ b/src/backend/target.rs
@@ -144,10 +144,6 @@
         self.answer(request)
             .unwrap_or_else(|err| serve::problem(&err))
     }
-
-    fn readiness(&self) -> std::result::Result<(), String> {
-        Ok(())
-    }
 }
 
 impl Service {
--- a/src/backend/worker.rs
+++ b/src/backend/worker.rs
@@ -235,10 +235,6 @@
             Err(err) => serve::problem(&err),
         }
     }
-
-    fn readiness(&self) -> std::result::Result<(), String> {
-        Ok(())
-    }
 }
 
 /// Announces the worker to one aggregator, to the next one when that does not answer.
--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -4,6 +4,7 @@
 //! The agent is the only caller of its worker and keeps nothing durable: after a restart it learns
 //! what runs from the worker's own lists.
 
+mod lease;
 mod order;
 
 pub use order::{Announcement, Effect, List, Lists, Start, Stop, Taken};
@@ -33,17 +34,6 @@
 /// Time after which an unanswered list counts as silence.
 const SILENT_MS: Millis = 2_500;
 
-/// Time between two looks at the clock from which on the machine is taken to have been suspended;
-/// threads look several times a second.
-const GAP_MS: Millis = 1_500;
-
-/// Drift of the worker's clock, with a reserve of half as much.
-const LEASE_DRIFT_PERCENT: Millis = 3;
-
-/// Added to the lease on the worker's clock before it counts as lapsed: the error of the agent's idea
-/// of that clock.
-const LAPSE_MARGIN_MS: Millis = 200;
-
 /// Time from a worker's farewell to its end.
 const FAREWELL_MS: Millis = 1_500;
 
@@ -141,27 +131,6 @@
         }
     }
 
-    /// Looks at the clock. Time in which the machine was suspended counts for the leader, which may
-    /// have given the worker up, but not for leases, as the worker's clock stood still with it.
-    fn look(&mut self, now: Millis) {
-        let gap_ms = now.saturating_sub(self.looked_ms);
-        if self.looked_ms > 0 && gap_ms > GAP_MS {
-            log::warn!("the machine stood still for {gap_ms} ms");
-            self.lease_end_ms += gap_ms;
-            self.answered_ms += gap_ms;
-            if let Some((_clock_ms, read_ms)) = &mut self.clock {
-                *read_ms += gap_ms;
-            }
-        }
-        self.looked_ms = self.looked_ms.max(now);
-    }
-
-    /// Whether the leader may have given the worker up and started its runs elsewhere.
-    fn is_given_up(&self, now: Millis) -> bool {
-        let lasts_ms = self.options.grant_ms + self.options.lease_ms;
-        self.granted_ms > 0 && now > self.granted_ms + lasts_ms
-    }
-
     /// Takes what the worker says of itself. Words of an earlier incarnation, or that were
     /// overtaken, change nothing.
     pub fn announce(&mut self, now: Millis, announcement: Announcement) {
@@ -214,54 +183,6 @@
         now < self.answered_ms + SILENT_MS
     }
 
-    /// Whether the leader has been heard of lately enough to extend leases and start work.
-    fn is_granted(&self, now: Millis) -> bool {
-        self.granted_ms > 0 && now < self.granted_ms + self.options.grant_ms
-    }
-
-    fn read_clock(&mut self, now: Millis, clock_ms: Millis) {
-        let passed = |(at, read): (Millis, Millis)| at + now.saturating_sub(read);
-        if self.clock.is_none_or(|clock| clock_ms > passed(clock))
-            || self.clock.is_some_and(|clock| now > clock.1 + 1_000)
-        {
-            self.clock = Some((clock_ms, now));
-        }
-    }
-
-    /// End of a lease that begins now, on the worker's clock.
-    fn expires_ms(&self, now: Millis) -> Option<Millis> {
-        let is_held = self.is_granted(now) && !self.is_void;
-        self.lease_from(now).filter(|_end_ms| is_held)
-    }
-
-    /// End of the longest lease that can have begun until now, on the worker's clock.
-    fn lease_from(&self, now: Millis) -> Option<Millis> {
-        let (clock_ms, read_ms) = self.clock?;
-        Some(clock_ms + now.saturating_sub(read_ms) + self.options.lease_ms)
-    }
-
-    /// Takes word of whether what the worker holds is void. Its lease is extended no more then, and
-    /// what it did counts only once that has lapsed: an end noted before could stand beside the
-    /// run that was started elsewhere.
-    fn note_void(&mut self, now: Millis, is_void: bool) {
-        if !is_void {
-            self.void_ms = None;
-            self.lapsed = false;
-        } else if !self.is_void {
-            log::info!("the worker had been given up; its lease is to lapse");
-        }
-        self.is_void = is_void;
-        if is_void && self.void_ms.is_none() {
-            self.void_ms = self.lease_from(now).map(|end_ms| end_ms + LAPSE_MARGIN_MS);
-        }
-    }
-
-    fn lease_sent(&mut self, now: Millis) {
-        let lease_ms = self.options.lease_ms;
-        let end_ms = now + lease_ms + lease_ms * LEASE_DRIFT_PERCENT / 100;
-        self.lease_end_ms = self.lease_end_ms.max(end_ms);
-    }
-
     /// The incarnation in use, by name and start.
     fn incarnation(&self) -> Option<(String, u64)> {
         let info = self.worker.as_ref().map(|worker| &worker.info);
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::codec;
 use crate::config;
 use crate::config::diff;
 use crate::error;
@@ -192,9 +193,7 @@
     /// # Errors
     /// `Internal` when it cannot be encoded.
     pub fn encode(&self) -> Result<Bytes> {
-        bincode::serde::encode_to_vec(self, bincode::config::standard())
-            .map(Bytes::from)
-            .map_err(|err| error::Error::new(error::Kind::Internal, err.to_string()))
+        codec::encode(self)
     }
 
     /// Decodes a snapshot.
@@ -202,9 +201,7 @@
     /// # Errors
     /// `Storage` when the bytes are not a snapshot of this version.
     pub fn decode(data: &[u8]) -> Result<Self> {
-        bincode::serde::decode_from_slice(data, bincode::config::standard())
-            .map(|(ledger, _used)| ledger)
-            .map_err(|err| error::Error::new(error::Kind::Storage, format!("snapshot: {err}")))
+        codec::decode("snapshot", data)
     }
 }
 
--- a/src/ledger/command.rs
+++ b/src/ledger/command.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::codec;
 use crate::config;
 use crate::config::diff;
 use crate::error;
@@ -93,9 +94,7 @@
     /// # Errors
     /// `Internal` when it cannot be encoded.
     pub fn encode(&self) -> Result<Bytes> {
-        bincode::serde::encode_to_vec(self, bincode::config::standard())
-            .map(Bytes::from)
-            .map_err(|err| error::Error::new(error::Kind::Internal, err.to_string()))
+        codec::encode(self)
     }
 
     /// Decodes a batch from the log.
@@ -103,8 +102,6 @@
     /// # Errors
     /// `Storage` when the bytes are not a batch of this version.
     pub fn decode(data: &[u8]) -> Result<Self> {
-        bincode::serde::decode_from_slice(data, bincode::config::standard())
-            .map(|(batch, _used)| batch)
-            .map_err(|err| error::Error::new(error::Kind::Storage, format!("log entry: {err}")))
+        codec::decode("log entry", data)
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod agent;
 pub mod backend;
 pub mod clock;
+pub mod codec;
 pub mod command;
 pub mod config;
 pub mod console;
@@ -17,6 +18,7 @@
 pub mod map;
 pub mod query;
 pub mod raft;
+pub mod reactor;
 pub mod report;
 pub mod roster;
 pub mod route;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -45,7 +45,9 @@
     fn handle(&self, request: &Request) -> Response;
 
     /// Whether the daemon can do its work; the sentence tells what is missing.
-    fn readiness(&self) -> std::result::Result<(), String>;
+    fn readiness(&self) -> std::result::Result<(), String> {
+        Ok(())
+    }
 }
 
 /// What a daemon's HTTP side shares with its main thread.
@@ -123,9 +125,9 @@
         .name("http".to_owned())
         .spawn(move || listen::run(addr, crew, &ready))
         .map_err(|err| error::Error::new(error::Kind::Internal, err.to_string()))?;
-    started.recv().map_err(|_closed| {
-        error::Error::new(error::Kind::Internal, "the HTTP thread has stopped")
-    })?
+    let stopped = || error::Error::new(error::Kind::Internal, "the HTTP thread has stopped");
+    let local = started.recv().map_err(|_closed| stopped())??;
+    local.ok_or_else(stopped)
 }
 
 fn route<H: Handler>(gate: &Gate, handler: &H, request: &Request) -> Response {
--- a/src/serve/listen.rs
+++ b/src/serve/listen.rs
@@ -13,6 +13,7 @@
 use tokio::{net, time};
 
 use crate::error;
+use crate::reactor;
 use crate::serve::body::Never;
 use crate::serve::crew::Crew;
 use crate::serve::{Handler, Job, Request, Response, Result, problem};
@@ -33,33 +34,11 @@
 pub(super) fn run<H: Handler>(
     addr: SocketAddr,
     crew: Arc<Crew<H>>,
-    ready: &channel::Sender<Result<SocketAddr>>,
+    ready: &channel::Sender<Result<Option<SocketAddr>>>,
 ) {
-    let runtime = match tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-    {
-        Ok(runtime) => runtime,
-        Err(err) => {
-            drop(ready.send(Err(err.into())));
-            return;
-        }
-    };
-    runtime.block_on(async {
-        let bound = match net::TcpListener::bind(addr).await {
-            Ok(listener) => listener.local_addr().map(|local| (listener, local)),
-            Err(err) => Err(err),
-        };
-        match bound {
-            Ok((listener, local)) => {
-                drop(ready.send(Ok(local)));
-                accept(listener, crew).await;
-            }
-            Err(err) => {
-                let detail = format!("listening on {addr}: {err}");
-                let err = error::Error::new(error::Kind::Unreachable, detail);
-                drop(ready.send(Err(err)));
-            }
+    reactor::run(Some(addr), ready, async |listener| {
+        if let Some(listener) = listener {
+            accept(listener, crew).await;
         }
     });
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -62,14 +62,9 @@
     pub retention_s: u64,
 }
 
-/// Settings of `oriolereel-entry`.
+/// Where the control group is.
 #[derive(Args, Clone, Debug)]
-pub struct Entry {
-    #[command(flatten)]
-    pub common: Common,
-    /// Address for callers, workers, health and metrics, IP:PORT
-    #[arg(long, env = "ORIOLEREEL_HTTP")]
-    pub http: SocketAddr,
+pub struct Uplink {
     /// Addresses of the control members, the nearest first, separated by commas
     #[arg(
         long,
@@ -78,6 +73,18 @@
         required = true
     )]
     pub control: Vec<SocketAddr>,
+}
+
+/// Settings of `oriolereel-entry`.
+#[derive(Args, Clone, Debug)]
+pub struct Entry {
+    #[command(flatten)]
+    pub common: Common,
+    /// Address for callers, workers, health and metrics, IP:PORT
+    #[arg(long, env = "ORIOLEREEL_HTTP")]
+    pub http: SocketAddr,
+    #[command(flatten)]
+    pub uplink: Uplink,
     /// Requests in progress; one account may take a quarter of them
     #[arg(long, env = "ORIOLEREEL_PLACES", default_value_t = 256,
           value_parser = clap::value_parser!(u64).range(4..=4_096))]
@@ -99,14 +106,8 @@
     /// Address for the target, workers, health and metrics, IP:PORT
     #[arg(long, env = "ORIOLEREEL_HTTP")]
     pub http: SocketAddr,
-    /// Addresses of the control members, the nearest first, separated by commas
-    #[arg(
-        long,
-        env = "ORIOLEREEL_CONTROL",
-        value_delimiter = ',',
-        required = true
-    )]
-    pub control: Vec<SocketAddr>,
+    #[command(flatten)]
+    pub uplink: Uplink,
     /// Connections to the target
     #[arg(long, env = "ORIOLEREEL_CONNECTIONS", default_value_t = 16,
           value_parser = clap::value_parser!(u64).range(1..=64))]
@@ -149,7 +150,7 @@
             name: self.common.name.clone(),
             region: self.common.region.clone(),
             http: self.http,
-            control: self.control.clone(),
+            control: self.uplink.control.clone(),
             places: self.places as usize,
             max_body_bytes: self.max_body_bytes as usize,
             delay: Duration::from_millis(self.common.delay_ms),
@@ -165,7 +166,7 @@
             region: self.common.region.clone(),
             listen: self.listen,
             http: self.http,
-            control: self.control.clone(),
+            control: self.uplink.control.clone(),
             connections: self.connections as usize,
             max_answer_bytes: self.max_answer_bytes,
             answers: answers::Limits {
--- a/src/wire/transport.rs
+++ b/src/wire/transport.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use crate::error;
+use crate::reactor;
 use crate::wire::{Frame, Result, call, pool, server};
 
 /// Calls that may wait for the transport thread.
@@ -142,46 +143,15 @@
     calls: mpsc::Receiver<Outbound>,
     ready: &channel::Sender<Result<Option<SocketAddr>>>,
 ) {
-    let runtime = match tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-    {
-        Ok(runtime) => runtime,
-        Err(err) => {
-            drop(ready.send(Err(err.into())));
-            return;
-        }
-    };
-    runtime.block_on(async {
-        match listen(options.listen).await {
-            Ok(local) => drop(ready.send(Ok(local))),
-            Err(err) => {
-                drop(ready.send(Err(err)));
-                return;
-            }
+    let (addr, taken) = options.listen.unzip();
+    reactor::run(addr, ready, async |listener| {
+        if let (Some(listener), Some(taken)) = (listener, taken) {
+            tokio::spawn(server::accept(listener, taken));
         }
         serve(calls, Arc::new(pool::Pool::new(options.delay))).await;
     });
 }
 
-async fn listen(
-    listen: Option<(SocketAddr, channel::Sender<call::Call>)>,
-) -> Result<Option<SocketAddr>> {
-    let Some((addr, calls)) = listen else {
-        return Ok(None);
-    };
-    let fault = |err: std::io::Error| {
-        error::Error::new(
-            error::Kind::Unreachable,
-            format!("listening on {addr}: {err}"),
-        )
-    };
-    let listener = tokio::net::TcpListener::bind(addr).await.map_err(fault)?;
-    let local = listener.local_addr().map_err(fault)?;
-    tokio::spawn(server::accept(listener, calls));
-    Ok(Some(local))
-}
-
 async fn serve(mut calls: mpsc::Receiver<Outbound>, pool: Arc<pool::Pool>) {
     while let Some(outbound) = calls.recv().await {
         let pool = Arc::clone(&pool);
--- a/tests/tests/raft.rs
+++ b/tests/tests/raft.rs
@@ -2,6 +2,10 @@
 
 #[path = "raft/cases.rs"]
 mod cases;
+#[path = "raft/fake.rs"]
+mod fake;
+#[path = "raft/step.rs"]
+mod step;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -14,95 +18,12 @@
 use oriolereel::raft::message::{Entry, Message, Payload};
 use oriolereel::raft::node::{Effects, Node, Role, Start, Timing};
 use oriolereel::raft::{Id, Index, Millis, Term};
-use oriolereel::store::{self, Snapshot, Store, disk};
+use oriolereel::store::{self, Snapshot, Store};
 use oriolereel::{dev, error};
 use proptest::prelude::*;
 
-/// A disk whose bytes last only once they are synced.
-#[derive(Clone, Debug, Default)]
-pub struct Disk {
-    files: BTreeMap<String, Vec<u8>>,
-    /// Bytes of each file that would survive a crash.
-    synced: BTreeMap<String, usize>,
-    /// Operations until the disk fails.
-    fuse: Option<u32>,
-}
-
-impl Disk {
-    fn burn(&mut self) -> error::Result<()> {
-        if let Some(left) = &mut self.fuse {
-            if *left == 0 {
-                return Err(error::Error::new(error::Kind::Storage, "crash"));
-            }
-            *left -= 1;
-        }
-        Ok(())
-    }
-
-    /// Loses what was not synced, but for a torn part of it.
-    fn crash(&mut self, torn: usize) {
-        self.fuse = None;
-        for (name, data) in &mut self.files {
-            let kept = self.synced.get(name).copied().unwrap_or(0);
-            let lost = data.len() - kept;
-            data.truncate(kept + if lost == 0 { 0 } else { torn % lost });
-            let len = data.len();
-            self.synced.insert(name.clone(), len);
-        }
-    }
-}
-
-impl disk::Disk for Disk {
-    fn list(&self) -> store::Result<Vec<String>> {
-        Ok(self.files.keys().cloned().collect())
-    }
-
-    fn read(&mut self, name: &str) -> store::Result<Vec<u8>> {
-        Ok(self.files.get(name).cloned().unwrap_or_default())
-    }
-
-    fn append(&mut self, name: &str, bytes: &[u8]) -> store::Result<()> {
-        self.files
-            .entry(name.to_owned())
-            .or_default()
-            .extend_from_slice(bytes);
-        self.burn()
-    }
-
-    fn sync(&mut self, name: &str) -> store::Result<()> {
-        self.burn()?;
-        let len = self.files.get(name).map_or(0, Vec::len);
-        self.synced.insert(name.to_owned(), len);
-        Ok(())
-    }
-
-    fn replace(&mut self, name: &str, bytes: &[u8]) -> store::Result<()> {
-        self.burn()?;
-        self.files.insert(name.to_owned(), bytes.to_vec());
-        self.synced.insert(name.to_owned(), bytes.len());
-        Ok(())
-    }
-
-    fn truncate(&mut self, name: &str, bytes: u64) -> store::Result<()> {
-        self.burn()?;
-        if let Some(data) = self.files.get_mut(name) {
-            data.truncate(bytes as usize);
-        }
-        self.synced.insert(name.to_owned(), bytes as usize);
-        Ok(())
-    }
-
-    fn remove(&mut self, name: &str) -> store::Result<()> {
-        self.burn()?;
-        self.files.remove(name);
-        self.synced.remove(name);
-        Ok(())
-    }
-
-    fn name(&self, name: &str) -> String {
-        format!("fake/{name}")
-    }
-}
+use fake::Disk;
+use step::Step;
 
 struct Running {
     node: Node,
@@ -569,44 +490,6 @@
     }
 }
 
-#[derive(Clone, Debug)]
-enum Step {
-    Pass(u16),
-    Tick(u8),
-    Deliver { pick: usize, keep: bool },
-    Drop(usize),
-    Cut { from: u8, to: u8 },
-    Isolate { member: u8, inbound_only: bool },
-    Heal,
-    Crash { member: u8, torn: usize },
-    FailWrite { member: u8, after: u8 },
-    Restart(u8),
-    Propose { member: u8, weight: u8 },
-    Snapshot(u8),
-    Replace(u8),
-    Transfer(u8),
-}
-
-fn step() -> impl Strategy<Value = Step> {
-    prop_oneof![
-        5 => (20..900_u16).prop_map(Step::Pass),
-        3 => (1..200_u8).prop_map(Step::Tick),
-        6 => (any::<usize>(), any::<bool>()).prop_map(|(pick, keep)| Step::Deliver { pick, keep }),
-        2 => any::<usize>().prop_map(Step::Drop),
-        1 => (0..5_u8, 0..5_u8).prop_map(|(from, to)| Step::Cut { from, to }),
-        1 => (0..5_u8, any::<bool>())
-            .prop_map(|(member, inbound_only)| Step::Isolate { member, inbound_only }),
-        1 => Just(Step::Heal),
-        2 => (0..5_u8, any::<usize>()).prop_map(|(member, torn)| Step::Crash { member, torn }),
-        1 => (0..5_u8, 0..6_u8).prop_map(|(member, after)| Step::FailWrite { member, after }),
-        3 => (0..5_u8).prop_map(Step::Restart),
-        8 => (0..5_u8, 0..90_u8).prop_map(|(member, weight)| Step::Propose { member, weight }),
-        1 => (0..5_u8).prop_map(Step::Snapshot),
-        1 => (0..5_u8).prop_map(Step::Replace),
-        1 => (0..5_u8).prop_map(Step::Transfer),
-    ]
-}
-
 fn play(size: Id, steps: &[Step]) {
     let mut world = World::new(size);
     world.pass(2_000);
@@ -673,13 +556,13 @@
 
     #[test]
     fn nothing_acknowledged_is_lost_among_three(
-        steps in prop::collection::vec(step(), 1..150),
+        steps in prop::collection::vec(step::step(), 1..150),
     ) {
         play(3, &steps);
     }
 
     #[test]
-    fn nothing_acknowledged_is_lost_among_five(steps in prop::collection::vec(step(), 1..100)) {
+    fn nothing_acknowledged_is_lost_among_five(steps in prop::collection::vec(step::step(), 1..100)) {
         play(5, &steps);
     }
 }
--- a/tests/tests/serve.rs
+++ b/tests/tests/serve.rs
@@ -140,10 +140,6 @@
         let body = serve::Body::whole(bytes::Bytes::from_static(b"together"));
         serve::respond(200, "text/plain", body)
     }
-
-    fn readiness(&self) -> Result<(), String> {
-        Ok(())
-    }
 }
 
 #[test]
