Decisions on jobs of several steps: no search where nothing fits, room and victims counted once

Cause (new example flows, 27 workers, 100 jobs waiting): each pass built offers of all workers for units that fit nowhere, summed all rooms again for each end of a reservation, and went through all victims for each worker and task.

--- /dev/null
+++ b/examples/flows.rs
@@ -0,0 +1,277 @@
+//! Measures what jobs of several steps cost the leader, for docs/CAPACITY.md.
+//!
+//! `cargo run --release --example flows` prints one JSON line for each size: the time of a decision
+//! while the fleet is full and jobs come and go, the bytes of a job and a worker in the state.
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use oriolereel::codec;
+use oriolereel::flow::book::{End, Info};
+use oriolereel::flow::catalog::{Account, Catalog, Queue};
+use oriolereel::flow::job::{Amount, Form, Step};
+use oriolereel::flow::message::{Act, Active, Ended, Report};
+use oriolereel::flow::planner::{Options, Planner};
+use oriolereel::flow::{Book, Command, Run, WorkerKey};
+use serde_json::json;
+
+/// Sizes of the fleet; the last one is the target.
+const SIZES: [u64; 3] = [27, 270, 2_700];
+
+/// Tasks that fill a worker: 69,000 on 2,700.
+const TASKS_PER_WORKER: u64 = 26;
+
+/// Client accounts at the target size.
+const ACCOUNTS: u64 = 110;
+
+/// Largest gang.
+const MAX_GANG: u32 = 256;
+
+/// Ends that are measured once the fleet is full.
+const TURNOVER: usize = 1_500;
+
+/// Jobs that wait while ends are measured.
+const WAITING: usize = 100;
+
+fn main() {
+    for size in SIZES {
+        measure(size);
+    }
+}
+
+/// A leader and its log, without disk and network.
+struct Leader {
+    planner: Planner,
+    book: Book,
+    index: u64,
+    now: u64,
+    jobs: u64,
+    /// Runs in the order of their starts.
+    running: VecDeque<(WorkerKey, Run)>,
+    ends: Vec<u64>,
+    times: Histogram<u64>,
+}
+
+fn info(number: u64) -> Info {
+    Info {
+        name: format!("worker-{number}"),
+        born: 1,
+        instance: format!("side-{number}"),
+        service: "s".to_owned(),
+        region: format!("region-{}", number % 4),
+        domain: format!("domain-{}", number % 10),
+        rack: format!("rack-{}", number / 30),
+        labels: vec!["a".to_owned()],
+        total: Amount {
+            millicpus: 128_000,
+            memory_mb: 512_000,
+            accelerators: 8,
+        },
+        guarded: false,
+    }
+}
+
+impl Leader {
+    fn new(size: u64) -> Self {
+        let book = Book::default();
+        let queue = |name: &str, priority| Queue {
+            name: name.to_owned(),
+            host: "h".to_owned(),
+            prefix: format!("/{name}/"),
+            service: "s".to_owned(),
+            priority,
+            max_attempts: 3,
+            slack_percent: 300,
+            target_ms: 1_200,
+            public: false,
+        };
+        let accounts = (0..ACCOUNTS).map(|number| Account {
+            name: format!("account-{number}"),
+            keys: vec![format!("key-{number}")],
+            guaranteed: size * 8 / ACCOUNTS / 2,
+        });
+        let catalog = Catalog {
+            version: 1,
+            document: Bytes::new(),
+            queues: vec![queue("urgent", 0), queue("later", 1)],
+            accounts: accounts.collect(),
+        };
+        let mut leader = Self {
+            planner: Planner::new(&book, 0, Options::default()),
+            book,
+            index: 0,
+            now: 10_000,
+            jobs: 0,
+            running: VecDeque::new(),
+            ends: vec![0; size as usize],
+            times: Histogram::new(3).expect("three digits are allowed"),
+        };
+        leader.planner.declare(Box::new(catalog));
+        for number in 0..size {
+            let report = Report {
+                info: info(number),
+                ..leader.report(number)
+            };
+            leader.planner.report(leader.now, report);
+        }
+        leader.decide();
+        leader
+    }
+
+    fn report(&self, number: u64) -> Report {
+        Report {
+            instance: format!("side-{number}"),
+            info: info(number),
+            answers: true,
+            ..Report::default()
+        }
+    }
+
+    /// Decides, applies at once, and records the time that the decision took.
+    fn decide(&mut self) {
+        self.now += 10;
+        let start = Instant::now();
+        let commands = self.planner.decide(self.now, self.now);
+        self.times
+            .saturating_record(start.elapsed().as_micros() as u64);
+        for command in commands {
+            if let Command::Place { unit, run, workers } = &command {
+                for (position, worker) in workers.iter().enumerate() {
+                    let task = unit.task(position as u32);
+                    let run = Run { task, number: *run };
+                    self.running.push_back((*worker, run));
+                }
+            }
+            self.index += 1;
+            self.book.apply(self.index, self.now, command);
+        }
+    }
+
+    fn submit(&mut self) {
+        self.jobs += 1;
+        let (id, account) = (self.jobs, self.jobs % ACCOUNTS);
+        // One job in forty is a large gang, one in seven is urgent and wide.
+        let step = match id {
+            _ if id.is_multiple_of(40) => (MAX_GANG.min(self.ends.len() as u32), 1, true),
+            _ if id.is_multiple_of(7) => (3, 4, false),
+            _ => (1 + (id % 32) as u32, 0, false),
+        };
+        let (count, accelerators, gang) = step;
+        let step = Step {
+            count,
+            each: Amount {
+                millicpus: 4_500,
+                memory_mb: 16_000,
+                accelerators,
+            },
+            estimate_ms: 8_500,
+            gang,
+            checkpoints: true,
+            ..Step::default()
+        };
+        let form = Form {
+            payload: Bytes::from(vec![0; 1_000]),
+            steps: vec![step],
+            schedule: None,
+        };
+        let queue = if id.is_multiple_of(7) {
+            "urgent"
+        } else {
+            "later"
+        };
+        let (path, key) = (format!("/{queue}/{id:016x}"), format!("key-{account}"));
+        let act = Act::Submit(Box::new(form));
+        self.planner
+            .request(&self.book, "h", &path, Some(&key), act);
+        self.decide();
+    }
+
+    fn waiting(&self) -> usize {
+        self.book.pending("urgent") + self.book.pending("later")
+    }
+
+    /// Ends the oldest run, as its agent would report it.
+    fn end_oldest(&mut self) {
+        let Some((worker, run)) = self.running.pop_front() else {
+            return;
+        };
+        let Some(known) = self.book.worker(worker) else {
+            return;
+        };
+        let number: u64 = known.info.name["worker-".len()..].parse().unwrap_or(0);
+        let is_here = known.runs.get(&run.task) == Some(&run.number);
+        if !is_here {
+            return;
+        }
+        let active = known
+            .runs
+            .iter()
+            .filter(|(task, _number)| **task != run.task);
+        let active = active.map(|(task, number)| Active {
+            run: Run {
+                task: *task,
+                number: *number,
+            },
+            saved: String::new(),
+            percent: 50,
+        });
+        self.ends[number as usize] += 1;
+        let ended = Ended {
+            number: self.ends[number as usize],
+            run,
+            end: End::Done,
+            saved: String::new(),
+        };
+        let report = Report {
+            active: active.collect(),
+            ended: vec![ended],
+            ..self.report(number)
+        };
+        self.planner.report(self.now, report);
+        self.decide();
+    }
+
+    /// Lets every worker be heard of, so that none is given up.
+    fn hear_all(&mut self) {
+        for number in 0..self.ends.len() as u64 {
+            self.planner.grant(self.now, WorkerKey(number));
+        }
+    }
+}
+
+fn measure(size: u64) {
+    let mut leader = Leader::new(size);
+    while leader.waiting() < WAITING && leader.running.len() < (size * TASKS_PER_WORKER) as usize {
+        leader.submit();
+        if leader.jobs.is_multiple_of(50) {
+            leader.hear_all();
+        }
+    }
+    while leader.waiting() < WAITING {
+        leader.submit();
+    }
+    let (tasks, filling) = (leader.running.len(), leader.times.clone());
+    leader.times.reset();
+    for _end in 0..TURNOVER {
+        leader.end_oldest();
+        if leader.waiting() < WAITING {
+            leader.submit();
+        }
+        leader.hear_all();
+    }
+    let bytes = codec::encode(&leader.book).map_or(0, |data| data.len());
+    println!(
+        "{}",
+        json!({
+            "measure": "decisions on jobs of several steps",
+            "workers": size, "tasks": tasks, "jobs": leader.jobs, "waiting": leader.waiting(),
+            "filling_p99_us": filling.value_at_quantile(0.99),
+            "p50_us": leader.times.value_at_quantile(0.5),
+            "p99_us": leader.times.value_at_quantile(0.99),
+            "max_us": leader.times.max(),
+            "state_bytes": bytes,
+        })
+    );
+}
--- a/src/flow/job.rs
+++ b/src/flow/job.rs
@@ -55,6 +55,15 @@
         }
     }
 
+    /// The larger of two amounts, for each resource by itself.
+    pub fn most(&self, other: &Self) -> Self {
+        Self {
+            millicpus: self.millicpus.max(other.millicpus),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// This amount a number of times.
     pub fn scaled(&self, times: u64) -> Self {
         Self {
--- a/src/flow/place.rs
+++ b/src/flow/place.rs
@@ -151,13 +151,31 @@
     victims: &[Victim],
 ) -> Option<(Vec<WorkerKey>, Vec<UnitId>)> {
     let all: Vec<&Offer<'_>> = offers.iter().collect();
+    let holders = by_worker(victims);
     sets(ask, &all)
         .into_iter()
-        .filter_map(|set| vacate(ask, &set, victims))
+        .filter_map(|set| vacate(ask, &set, victims, &holders))
         .min_by_key(|found| found.cost)
         .map(|found| (found.keys, found.stopped))
 }
 
+/// Cost, position and holding of each victim, by worker, the cheapest first.
+type Holders = map::Map<WorkerKey, Vec<(u64, usize, Amount)>>;
+
+fn by_worker(victims: &[Victim]) -> Holders {
+    let mut holders: Holders = map::Map::default();
+    for (at, victim) in victims.iter().enumerate() {
+        for (worker, amount) in &victim.holds {
+            let here = holders.entry(*worker).or_default();
+            here.push((victim.cost, at, *amount));
+        }
+    }
+    for here in holders.values_mut() {
+        here.sort_unstable_by_key(|(cost, at, _amount)| (*cost, *at));
+    }
+    holders
+}
+
 struct Vacated {
     keys: Vec<WorkerKey>,
     stopped: Vec<UnitId>,
@@ -172,7 +190,12 @@
 }
 
 /// Takes the tasks one by one to where the next costs least.
-fn vacate(ask: &Ask<'_>, set: &[&Offer<'_>], victims: &[Victim]) -> Option<Vacated> {
+fn vacate(
+    ask: &Ask<'_>,
+    set: &[&Offer<'_>],
+    victims: &[Victim],
+    holders: &Holders,
+) -> Option<Vacated> {
     let mut free: map::Map<WorkerKey, Amount> = map::Map::default();
     let mut here: map::Map<WorkerKey, u32> = map::Map::default();
     for offer in set {
@@ -188,7 +211,8 @@
             |offer: &&&Offer<'_>| offer.admits(ask) && (spread == 0 || here[&offer.key] < spread);
         let steps = set.iter().filter(admits).filter_map(|offer| {
             let room = &free[&offer.key];
-            let (price, chosen) = open(ask, offer.key, room, victims, &gone)?;
+            let here = holders.get(&offer.key).map_or(&[][..], Vec::as_slice);
+            let (price, chosen) = open(ask, room, here, &gone)?;
             let order = offer.order(room);
             Some(Move {
                 price,
@@ -228,35 +252,22 @@
 /// The cheapest runs whose end makes room for one task on a worker.
 fn open(
     ask: &Ask<'_>,
-    key: WorkerKey,
     free: &Amount,
-    victims: &[Victim],
+    here: &[(u64, usize, Amount)],
     gone: &[bool],
 ) -> Option<(u64, Vec<usize>)> {
     let need = &ask.step.each;
     if free.fits(need) {
         return Some((0, Vec::new()));
     }
-    let mut here: Vec<(u64, usize, Amount)> = Vec::new();
-    for (at, victim) in victims
-        .iter()
-        .enumerate()
-        .filter(|(at, _victim)| !gone[*at])
-    {
-        let held = victim.holds.iter().find(|(worker, _amount)| *worker == key);
-        if let Some((_worker, amount)) = held {
-            here.push((victim.cost, at, *amount));
-        }
-    }
-    here.sort_unstable_by_key(|(cost, at, _amount)| (*cost, *at));
     let mut room = *free;
     let mut chosen: Vec<(u64, usize, Amount)> = Vec::new();
-    for entry in here {
+    for entry in here.iter().filter(|(_cost, at, _amount)| !gone[*at]) {
         if room.fits(need) {
             break;
         }
         room = room.plus(&entry.2);
-        chosen.push(entry);
+        chosen.push(*entry);
     }
     if !room.fits(need) {
         return None;
--- a/src/flow/planner/pass.rs
+++ b/src/flow/planner/pass.rs
@@ -51,6 +51,9 @@
 struct Desk {
     /// Jobs whose account's guarantee covers them.
     entitled: map::Set<JobId>,
+    /// Most of each resource that is free on any one worker of a service. What does not fit into it
+    /// fits nowhere, and needs no search among all workers.
+    most: map::Map<String, Amount>,
     /// Room that is being vacated, by worker.
     claimed: BTreeMap<WorkerKey, Amount>,
     /// Workers that are reserved, and from when on.
@@ -66,6 +69,7 @@
             .retain(|unit, claim| now < claim.until_ms && is_waiting(ahead, *unit));
         let mut desk = Desk {
             entitled: self.entitled(),
+            most: self.most(),
             claimed: BTreeMap::new(),
             reserved: BTreeMap::new(),
             reservations: 0,
@@ -93,6 +97,18 @@
         }
     }
 
+    fn most(&self) -> map::Map<String, Amount> {
+        let mut most: map::Map<String, Amount> = map::Map::default();
+        for (key, worker) in self.ahead.workers() {
+            if self.is_usable(key) {
+                let free = worker.info.total.less(&worker.used);
+                let sum = most.entry(worker.info.service.clone()).or_default();
+                *sum = sum.most(&free);
+            }
+        }
+        most
+    }
+
     fn rank(&self, desk: &Desk, id: UnitId) -> Rank {
         let Some(job) = self.ahead.job(id.job) else {
             return (true, u32::MAX, Millis::MAX, id);
@@ -138,56 +154,12 @@
         let Some((job, step)) = self.ahead.step(id) else {
             return false;
         };
-        let (step, priority) = (step.clone(), job.queue.priority);
-        let service = job.queue.service.clone();
-        let due_ms = job.due_ms(id.occurrence);
+        let (step, service) = (step.clone(), job.queue.service.clone());
         let Some(unit) = self.ahead.unit(id).cloned() else {
             return false;
         };
-        let entitled = desk.entitled.contains(&id.job);
         self.release_claim(desk, id, &step);
-        let placed = {
-            let offers = self.offers(desk, id, &unit, &service);
-            let waited_ms = self.wall.saturating_sub(unit.ready_ms);
-            let patience_ms = if priority == 0 {
-                URGENT_IDEAL_WAIT_MS
-            } else {
-                IDEAL_WAIT_MS
-            };
-            let mut found = None;
-            let reaches: &[Reach] = if waited_ms >= patience_ms {
-                &[Reach::Ideal, Reach::Anywhere]
-            } else {
-                &[Reach::Ideal]
-            };
-            let mut ask = Ask {
-                step: &step,
-                tasks: unit.tasks,
-                reach: Reach::Ideal,
-                end_ms: self.wall + step.estimate_ms,
-            };
-            for reach in reaches {
-                ask.reach = *reach;
-                found = found.or_else(|| place::place(&ask, &offers));
-            }
-            let in_time = ask.end_ms <= due_ms;
-            if found.is_none() && (entitled || priority == 0 && in_time) {
-                let victims = self.victims(desk, entitled, priority);
-                let mut made = None;
-                for reach in reaches {
-                    ask.reach = *reach;
-                    made = made.or_else(|| place::reclaim(&ask, &offers, &victims));
-                }
-                if let Some((workers, stopped)) = made {
-                    Some((workers, stopped))
-                } else {
-                    None
-                }
-            } else {
-                found.map(|workers| (workers, Vec::new()))
-            }
-        };
-        match placed {
+        match self.find(desk, id, &unit, &step) {
             Some((workers, stopped)) if stopped.is_empty() => {
                 self.place(id, &unit, workers);
                 true
@@ -203,6 +175,64 @@
         }
     }
 
+    /// Workers for a unit, and the runs that must give way there.
+    fn find(
+        &self,
+        desk: &Desk,
+        id: UnitId,
+        unit: &Unit,
+        step: &Step,
+    ) -> Option<(Vec<WorkerKey>, Vec<UnitId>)> {
+        let job = self.ahead.job(id.job)?;
+        let (service, priority) = (&job.queue.service, job.queue.priority);
+        let end_ms = self.wall + step.estimate_ms;
+        let entitled = desk.entitled.contains(&id.job);
+        let may_reclaim = entitled || priority == 0 && end_ms <= job.due_ms(id.occurrence);
+        let fits = desk
+            .most
+            .get(service)
+            .is_some_and(|most| most.fits(&step.each));
+        if !fits && !may_reclaim {
+            return None;
+        }
+        let offers = self.offers(desk, id, unit, service);
+        let ask = |reach: &Reach| Ask {
+            step,
+            tasks: unit.tasks,
+            reach: *reach,
+            end_ms,
+        };
+        let reaches = self.reaches(unit, priority);
+        let mut places = reaches
+            .iter()
+            .map(|reach| place::place(&ask(reach), &offers));
+        if let Some(workers) = places.find_map(|found| found) {
+            return Some((workers, Vec::new()));
+        }
+        if !may_reclaim {
+            return None;
+        }
+        let victims = self.victims(desk, entitled, priority);
+        let mut rooms = reaches
+            .iter()
+            .map(|reach| place::reclaim(&ask(reach), &offers, &victims));
+        rooms.find_map(|found| found)
+    }
+
+    /// How far a unit may go after its wait, the best first.
+    fn reaches(&self, unit: &Unit, priority: u32) -> &'static [Reach] {
+        let patience_ms = if priority == 0 {
+            URGENT_IDEAL_WAIT_MS
+        } else {
+            IDEAL_WAIT_MS
+        };
+        if self.wall.saturating_sub(unit.ready_ms) >= patience_ms {
+            &[Reach::Ideal, Reach::Anywhere]
+        } else {
+            &[Reach::Ideal]
+        }
+    }
+
     fn place(&mut self, id: UnitId, unit: &Unit, workers: Vec<WorkerKey>) {
         let run = unit.run + 1;
         let waited_ms = self.wall.saturating_sub(unit.ready_ms);
@@ -362,13 +392,15 @@
             }
         }
         ends.sort_unstable_by_key(|(end_ms, key, _amount)| (*end_ms, *key));
+        let fits = |room: &Amount| room.times(&step.each, u64::from(tasks));
+        let mut total: u64 = free.values().map(fits).sum();
         for (end_ms, key, amount) in ends {
             let Some(room) = free.get_mut(&key) else {
                 continue;
             };
+            total -= fits(room);
             *room = room.plus(&amount);
-            let fits = |room: &Amount| room.times(&step.each, u64::from(tasks));
-            let total: u64 = free.values().map(fits).sum();
+            total += fits(room);
             if total < u64::from(tasks) {
                 continue;
             }
