--- a/examples/flows.rs
+++ b/examples/flows.rs
@@ -32,6 +32,9 @@
 /// Ends that are measured once the fleet is full.
 const TURNOVER: usize = 1_500;
 
+/// Longest decision that is told apart, in microseconds.
+const LONGEST_US: u64 = 60_000_000;
+
 /// Jobs that wait while ends are measured.
 const WAITING: usize = 100;
 
@@ -50,6 +53,8 @@
     jobs: u64,
     /// Runs in the order of their starts.
     running: VecDeque<(WorkerKey, Run)>,
+    /// Runs that have been told to stop.
+    stopping: VecDeque<(WorkerKey, Run)>,
     ends: Vec<u64>,
     times: Histogram<u64>,
 }
@@ -105,8 +110,9 @@
             now: 10_000,
             jobs: 0,
             running: VecDeque::new(),
+            stopping: VecDeque::new(),
             ends: vec![0; size as usize],
-            times: Histogram::new(3).expect("three digits are allowed"),
+            times: Histogram::new_with_bounds(1, LONGEST_US, 3).expect("valid bounds"),
         };
         leader.planner.declare(Box::new(catalog));
         for number in 0..size {
@@ -144,6 +150,17 @@
                     self.running.push_back((*worker, run));
                 }
             }
+            if let Command::Stop { unit, .. } = &command {
+                let state = self.book.unit(*unit);
+                let running = state.and_then(|state| Some((state.run, state.running.as_ref()?)));
+                if let Some((number, running)) = running {
+                    for (position, member) in running.members.iter().enumerate() {
+                        let task = unit.task(position as u32);
+                        self.stopping
+                            .push_back((member.worker, Run { task, number }));
+                    }
+                }
+            }
             self.index += 1;
             self.book.apply(self.index, self.now, command);
         }
@@ -192,11 +209,21 @@
         self.book.pending("urgent") + self.book.pending("later")
     }
 
-    /// Ends the oldest run, as its agent would report it.
+    /// Ends what was stopped, and the oldest run, as their agents would report it.
     fn end_oldest(&mut self) {
-        let Some((worker, run)) = self.running.pop_front() else {
-            return;
-        };
+        self.end_stopped();
+        if let Some((worker, run)) = self.running.pop_front() {
+            self.end(worker, run, End::Done);
+        }
+    }
+
+    fn end_stopped(&mut self) {
+        while let Some((worker, run)) = self.stopping.pop_front() {
+            self.end(worker, run, End::Stopped);
+        }
+    }
+
+    fn end(&mut self, worker: WorkerKey, run: Run, end: End) {
         let Some(known) = self.book.worker(worker) else {
             return;
         };
@@ -221,7 +248,7 @@
         let ended = Ended {
             number: self.ends[number as usize],
             run,
-            end: End::Done,
+            end,
             saved: String::new(),
         };
         let report = Report {
@@ -245,13 +272,11 @@
     let mut leader = Leader::new(size);
     while leader.waiting() < WAITING && leader.running.len() < (size * TASKS_PER_WORKER) as usize {
         leader.submit();
+        leader.end_stopped();
         if leader.jobs.is_multiple_of(50) {
             leader.hear_all();
         }
     }
-    while leader.waiting() < WAITING {
-        leader.submit();
-    }
     let (tasks, filling) = (leader.running.len(), leader.times.clone());
     leader.times.reset();
     for _end in 0..TURNOVER {
