control: identities are random, the group has a size, silence gives up nobody

A member that was silent for 3.5 s was removed; when it woke it wiped its data folder on the leader's word and exited with code 1. faultTolerance was not read.

Change: identities are drawn at random and kept with their address; a call under the identity of a member at another address is refused, logged and counted. control::size decides the next change: 2f+1 voters, the others standbys; a silent voter keeps its place until a caught-up standby has taken it, and is demoted, not removed; a lost disk is known by another process at its address, and its successor is promoted before it is removed. A member that was removed sets its data aside (one kept, bounded) and rejoins in the same process. No path wipes or exits. Learners are promoted by control::size instead of the consensus core. status, metrics and one log line at each change tell voters, standbys and the losses borne.

--- a/examples/commit.rs
+++ b/examples/commit.rs
@@ -56,7 +56,9 @@
         members.push(daemon::start(daemon::Options {
             id: *id,
             name: format!("control-{id}"),
-            region: "here".to_owned(),
+            place: oriolereel::control::size::Place::default(),
+            goal: None,
+            max_aside_bytes: daemon::MAX_ASIDE_BYTES,
             listen: *addr,
             http: dev::loopback(0),
             data,
--- a/src/command/member.rs
+++ b/src/command/member.rs
@@ -16,7 +16,9 @@
 pub const USAGE: &str = "\
 A new member receives the log as a learner and becomes a voter once it has caught up. Only one
 change is made at a time. If a member has lost its disk, remove it and add it under a new identity
-with an empty folder; never use the old identity again.
+with an empty folder; never use the old identity again. In a group that runs with --tolerate, members
+are promoted, replaced and demoted by themselves, and a removed member's process rejoins as a standby
+unless it is stopped.
 
 Example:
   oriolereel init --data d4 --id 4 --join
@@ -67,7 +69,9 @@
         .context("cannot change the members")?;
     let done = match &args.change {
         Change::Add { id, .. } => {
-            format!("member {id} is a learner and becomes a voter once it has caught up")
+            format!(
+                "member {id} is a learner and becomes a voter once it has caught up and the group needs it"
+            )
         }
         Change::Remove { id } => format!("removed member {id}; stop its process"),
     };
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -1,18 +1,15 @@
-//! Starts and stops a control member: its threads, and the HTTP service for operators.
+//! Starts and stops a control member and its threads.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use crossbeam::channel;
 
 use crate::clock;
-use crate::config;
-use crate::config::parse;
-use crate::control::{disk, group, leader, member};
+use crate::control::{admin, disk, enrol, group, leader, member, size};
 use crate::error;
 use crate::raft::Id;
 use crate::raft::members;
@@ -21,7 +18,6 @@
 use crate::store::folder;
 use crate::uplink;
 use crate::wire::call;
-use crate::wire::frame::{self, Frame};
 use crate::wire::transport;
 
 /// Maximum number of incoming calls queued for the member.
@@ -36,14 +32,11 @@
 /// Time limit at shutdown for transferring leadership.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Time limit for answering an operator's call.
-const CALL_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time for which the data of a replaced member is kept.
+const ASIDE_TTL_MS: u64 = 7 * 24 * 3_600_000;
 
-/// Maximum size of a configuration that operators send.
-const MAX_CONFIG_BYTES: usize = 8 << 20;
-
-/// Number of hexadecimal digits in the id of a job of several steps; request ids are shorter.
-const STEPS_JOB_ID_DIGITS: usize = 16;
+/// Maximum size of the data kept of a replaced member where nothing else is set.
+pub const MAX_ASIDE_BYTES: u64 = 1 << 30;
 
 /// Number of threads that serve operators.
 const HTTP_THREADS: usize = 16;
@@ -53,10 +46,15 @@
 pub struct Options {
     pub id: Id,
     pub name: String,
-    pub region: String,
+    pub place: size::Place,
     pub listen: SocketAddr,
     pub http: SocketAddr,
     pub data: PathBuf,
+    /// Maximum size of the data that is kept of a member that the group has replaced.
+    pub max_aside_bytes: u64,
+    /// What the group must bear; `None` if operators add and remove members by hand. With a goal, a
+    /// member that the group has replaced rejoins under a new identity.
+    pub goal: Option<size::Goal>,
     pub operator_token: String,
     pub retention: Duration,
     /// Delay added to messages, for measurements.
@@ -69,63 +67,31 @@
     pub addr: SocketAddr,
     pub http: SocketAddr,
     group: group::Group,
-    state: Arc<State>,
     gate: Arc<serve::Gate>,
     stop: channel::Sender<()>,
     stopped: channel::Receiver<error::Result<()>>,
 }
 
-/// State of a running member that other threads can read.
-#[derive(Debug, Default)]
-pub struct State {
-    has_leader_contact: AtomicBool,
-    log_written: AtomicBool,
-}
-
-impl State {
-    /// Reports whether the member is the leader, or had contact with one within its lease.
-    pub fn has_leader_contact(&self) -> bool {
-        self.has_leader_contact.load(Ordering::SeqCst)
-    }
-
-    /// Reports whether nothing was ever written to the member's log.
-    pub fn has_empty_log(&self) -> bool {
-        !self.log_written.load(Ordering::SeqCst)
-    }
-
-    fn update(&self, member: &member::Member) {
-        self.has_leader_contact
-            .store(member.node().is_fresh(), Ordering::SeqCst);
-        self.log_written
-            .store(!member.node().log().is_blank(), Ordering::SeqCst);
-    }
-}
-
-/// Reads the identity of the member that owns a data folder; `None` if the folder was never
-/// initialized.
+/// Returns the identity of a data folder; `None` if the folder was never initialized.
 ///
 /// # Errors
 /// `Storage` when the folder cannot be read.
-pub fn identity(data: &std::path::Path) -> error::Result<Option<Id>> {
-    store::identity(&mut folder::Folder::open(data)?)
+pub fn identity(data: &Path) -> error::Result<Option<store::Identity>> {
+    store::identity::identity(&mut folder::Folder::open(data)?)
 }
 
 /// Initializes a data folder: with the first members of a group, or empty for a member that joins.
 ///
 /// # Errors
 /// `Storage` when the folder already belongs to a member or cannot be written.
-pub fn init(data: &std::path::Path, id: Id, voters: BTreeMap<Id, SocketAddr>) -> error::Result<()> {
+pub fn init(
+    data: &Path,
+    identity: impl Into<store::Identity>,
+    voters: BTreeMap<Id, SocketAddr>,
+) -> error::Result<()> {
     let mut folder = folder::Folder::open(data)?;
     let first = (!voters.is_empty()).then(|| members::Members::initial(voters));
-    store::init(&mut folder, id, first)
-}
-
-/// Empties a data folder whose member must not come back under its identity.
-///
-/// # Errors
-/// `Storage` when the disk fails.
-pub fn wipe(data: &std::path::Path) -> error::Result<()> {
-    store::wipe(&mut folder::Folder::open(data)?)
+    store::init(&mut folder, identity, first)
 }
 
 /// Starts a member.
@@ -133,51 +99,42 @@
 /// # Errors
 /// `Storage` when the folder is not usable, `Unreachable` when an address is in use.
 pub fn start(options: Options) -> error::Result<Daemon> {
-    let folder = folder::Folder::open(&options.data)?;
-    let (store, recovered) = store::Store::open(folder, options.id)?;
-    if recovered.truncated_bytes > 0 {
-        log::warn!(
-            bytes = recovered.truncated_bytes;
-            "truncated an incomplete record at the end of the log"
-        );
-    }
     let (calls_sender, calls) = channel::bounded(CALL_QUEUE_CAPACITY);
     let transport = transport::Transport::start(transport::Options {
         listen: Some((options.listen, calls_sender)),
         delay: options.delay,
     })?;
     let addr = transport.local_addr().unwrap_or(options.listen);
-    let (completions_sender, completions) = channel::bounded(CALL_QUEUE_CAPACITY);
-    let disk = disk::start(store, completions_sender)?;
-    let member = member::Member::new(
-        member::Options {
-            name: options.name.clone(),
-            region: options.region.clone(),
-            addr,
-            leader: leader::Options {
-                retention_ms: options.retention.as_millis() as u64,
-                seed: clock::incarnation(),
-            },
-        },
-        options.id,
-        recovered,
-        transport.clone(),
-        disk,
-    )?;
+    let life = Life::start(&options, options.id, addr, &transport)?;
+    remove_expired(&options.data, options.id)?;
     let gate: Arc<serve::Gate> = Arc::default();
-    let group = group::Group::new(transport, vec![addr]);
-    let handler = Arc::new(Admin {
+    let group = group::Group::new(transport.clone(), vec![addr]);
+    let handler = Arc::new(admin::Admin {
         group: group.clone(),
         token: options.operator_token.clone(),
     });
     let http = serve::start(options.http, HTTP_THREADS, Arc::clone(&gate), handler)?;
     let (stop, stopping) = channel::bounded(1);
     let (stopped_sender, stopped) = channel::bounded(1);
-    let state: Arc<State> = Arc::default();
-    state.update(&member);
-    let shared = Arc::clone(&state);
+    let (replaced_sender, replaced) = channel::bounded(1);
+    let state: Arc<enrol::State> = Arc::default();
+    state.update(&life.member);
+    if options.goal.is_some() {
+        enrol::start(
+            options.place.clone(),
+            group.clone(),
+            Arc::clone(&state),
+            replaced_sender,
+        )?;
+    }
+    let inputs = Inputs {
+        calls,
+        stopping,
+        replaced,
+        state,
+    };
     uplink::spawn("control", move || {
-        let result = run(member, &calls, &completions, &stopping, &shared);
+        let result = run_lives(&options, life, addr, &transport, &inputs);
         if let Err(err) = &result {
             log::error!("control member failed: {err}");
         }
@@ -188,13 +145,116 @@
         addr,
         http,
         group,
-        state,
         gate,
         stop,
         stopped,
     })
 }
 
+/// Removes the data of a replaced member once it is old.
+fn remove_expired(data: &Path, id: Id) -> error::Result<()> {
+    let mut folder = folder::Folder::open(data)?;
+    let identity = store::identity::identity(&mut folder)?;
+    let set_aside_ms = identity.and_then(|identity| identity.set_aside_ms);
+    if set_aside_ms.is_some_and(|at_ms| clock::wall_ms() >= at_ms.saturating_add(ASIDE_TTL_MS)) {
+        log::info!(member = id; "removing the data of the member that was replaced");
+        store::identity::remove_set_aside(&mut folder)?;
+    }
+    Ok(())
+}
+
+/// A member under one identity, with the completions of its disk thread.
+struct Life {
+    member: member::Member,
+    completions: channel::Receiver<disk::Completion>,
+}
+
+impl Life {
+    /// Reads the data folder and starts its disk thread.
+    fn start(
+        options: &Options,
+        id: Id,
+        addr: SocketAddr,
+        transport: &transport::Transport,
+    ) -> error::Result<Self> {
+        let folder = folder::Folder::open(&options.data)?;
+        let (store, recovered) = store::Store::open(folder, id)?;
+        if recovered.truncated_bytes > 0 {
+            log::warn!(
+                bytes = recovered.truncated_bytes;
+                "truncated an incomplete record at the end of the log"
+            );
+        }
+        let (completions_sender, completions) = channel::bounded(CALL_QUEUE_CAPACITY);
+        let disk = disk::start(store, completions_sender)?;
+        let member_options = member::Options {
+            name: options.name.clone(),
+            place: options.place.clone(),
+            addr,
+            goal: options.goal,
+            leader: leader::Options {
+                retention_ms: options.retention.as_millis() as u64,
+                seed: rand::random(),
+            },
+        };
+        let transport = transport.clone();
+        let member = member::Member::new(member_options, id, recovered, transport, disk)?;
+        Ok(Self {
+            member,
+            completions,
+        })
+    }
+
+    /// Ends the life and waits until its disk thread has written everything.
+    fn end(self) {
+        drop(self.member);
+        while self.completions.recv().is_ok() {}
+    }
+}
+
+/// What a running member receives from other threads.
+struct Inputs {
+    calls: channel::Receiver<call::Call>,
+    stopping: channel::Receiver<()>,
+    /// Identities that the group has replaced.
+    replaced: channel::Receiver<Id>,
+    state: Arc<enrol::State>,
+}
+
+/// Reason for which a life ends.
+enum End {
+    Stopped,
+    Replaced,
+}
+
+/// Runs the member, and again under a new identity each time that the group has replaced it.
+fn run_lives(
+    options: &Options,
+    mut life: Life,
+    addr: SocketAddr,
+    transport: &transport::Transport,
+    inputs: &Inputs,
+) -> error::Result<()> {
+    while let End::Replaced = run(&mut life, inputs)? {
+        let old = life.member.node().id();
+        life.end();
+        let id = rejoin(options, addr)?;
+        log::warn!(member = id, replaced = old; "set the data of the replaced member aside, rejoining under a new identity");
+        life = Life::start(options, id, addr, transport)?;
+        inputs.state.update(&life.member);
+    }
+    Ok(())
+}
+
+/// Sets the data of the folder's member aside and initializes the folder for a new one.
+fn rejoin(options: &Options, addr: SocketAddr) -> error::Result<Id> {
+    let mut folder = folder::Folder::open(&options.data)?;
+    let identity = store::Identity::random(addr);
+    let max_bytes = options.max_aside_bytes;
+    store::identity::renew(&mut folder, identity, clock::wall_ms(), max_bytes)?;
+    Ok(identity.id)
+}
+
 impl Daemon {
     /// Transfers leadership and stops the member.
     ///
@@ -213,29 +273,22 @@
         &self.group
     }
 
-    /// Returns the state of the member that other threads can read.
-    pub fn state(&self) -> Arc<State> {
-        Arc::clone(&self.state)
-    }
-
     /// Returns the error if the member has stopped by itself.
     pub fn failure(&self) -> Option<error::Error> {
         self.stopped.try_recv().ok()?.err()
     }
 }
 
-fn run(
-    mut member: member::Member,
-    calls: &channel::Receiver<call::Call>,
-    completions: &channel::Receiver<disk::Completion>,
-    stopping: &channel::Receiver<()>,
-    state: &State,
-) -> error::Result<()> {
+fn run(life: &mut Life, inputs: &Inputs) -> error::Result<End> {
     let ticker = channel::tick(TICK_INTERVAL);
+    let Life {
+        member,
+        completions,
+    } = life;
     loop {
         channel::select! {
-            recv(calls) -> call => if let Ok(call) = call {
-                let more = calls.try_iter().take(MAX_BATCH_CALLS - 1);
+            recv(inputs.calls) -> call => if let Ok(call) = call {
+                let more = inputs.calls.try_iter().take(MAX_BATCH_CALLS - 1);
                 member.handle_calls(std::iter::once(call).chain(more));
             },
             recv(completions) -> completion => match completion {
@@ -244,16 +297,24 @@
             },
             recv(ticker) -> _ => {
                 member.tick();
-                state.update(&member);
+                inputs.state.update(member);
+            }
+            recv(inputs.stopping) -> _ => {
+                transfer_leadership(member, &inputs.calls, completions)?;
+                return Ok(End::Stopped);
+            }
+            recv(inputs.replaced) -> id => {
+                if id == Ok(member.node().id()) {
+                    return Ok(End::Replaced);
+                }
             }
-            recv(stopping) -> _ => return transfer_leadership(member, calls, completions),
         }
     }
 }
 
 /// Transfers leadership and keeps serving until another member is the leader or the time is up.
 fn transfer_leadership(
-    mut member: member::Member,
+    member: &mut member::Member,
     calls: &channel::Receiver<call::Call>,
     completions: &channel::Receiver<disk::Completion>,
 ) -> error::Result<()> {
@@ -277,145 +338,3 @@
 fn disk_stopped() -> error::Error {
     error::Error::new(error::Kind::Storage, "the disk thread has stopped")
 }
-
-/// Serves operators over HTTP.
-struct Admin {
-    group: group::Group,
-    token: String,
-}
-
-impl serve::Handler for Admin {
-    fn max_body_bytes(&self) -> usize {
-        MAX_CONFIG_BYTES
-    }
-
-    fn handle(&self, request: &serve::Request) -> serve::Response {
-        self.answer(request)
-            .unwrap_or_else(|err| serve::problem(&err))
-    }
-
-    fn readiness(&self) -> std::result::Result<(), String> {
-        let status = self.group.call(
-            &Frame::Query(frame::Query::Members),
-            Duration::ZERO,
-            Duration::ZERO,
-        );
-        status.map(drop).map_err(|err| err.to_string())
-    }
-}
-
-#[derive(serde::Deserialize)]
-struct Files {
-    files: Vec<parse::Source>,
-}
-
-impl Admin {
-    fn answer(&self, request: &serve::Request) -> serve::Result<serve::Response> {
-        self.authorize(request)?;
-        let path = request.uri().path().to_owned();
-        let dry_run = request
-            .uri()
-            .query()
-            .is_some_and(|query| query == "dry_run=true");
-        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
-        let method = request.method().as_str().to_owned();
-        match (method.as_str(), parts.as_slice()) {
-            ("POST", ["v1", "config"]) => {
-                let files: Files = serve::read_json(request)?;
-                self.configure(files.files, dry_run)
-            }
-            ("POST", ["v1", "members"]) => {
-                let change: members::Change = serve::read_json(request)?;
-                self.call(&Frame::Change(change))
-            }
-            ("GET", ["v1", "jobs", id, "decisions"]) => {
-                let query = if id.len() == STEPS_JOB_ID_DIGITS {
-                    u64::from_str_radix(id, 16).map(frame::Query::ExplainSteps)
-                } else {
-                    id.parse().map(frame::Query::Explain)
-                };
-                let query = query.map_err(|_not_a_number| leader::unknown_request())?;
-                self.call(&Frame::Query(query))
-            }
-            ("GET", ["v1", name]) => match query(name) {
-                Some(query) => self.call(&Frame::Query(query)),
-                None => Err(unknown_path(&path)),
-            },
-            _ => Err(unknown_path(&path)),
-        }
-    }
-
-    fn authorize(&self, request: &serve::Request) -> serve::Result<()> {
-        let given = serve::header(request, "authorization")?;
-        let token = given.and_then(|value| value.strip_prefix("Bearer "));
-        if token == Some(&self.token) {
-            return Ok(());
-        }
-        Err(error::Error::new(
-            error::Kind::Unauthorized,
-            "the operator token is missing or invalid",
-        ))
-    }
-
-    fn configure(
-        &self,
-        files: Vec<parse::Source>,
-        dry_run: bool,
-    ) -> serve::Result<serve::Response> {
-        let config: config::Config =
-            parse::parse(files).map_err(|diagnostics| parse::to_error(&diagnostics))?;
-        self.call(&Frame::Configure {
-            config: Box::new(config),
-            dry_run,
-        })
-    }
-
-    fn call(&self, frame: &Frame) -> serve::Result<serve::Response> {
-        match self.group.call(frame, Duration::ZERO, CALL_TIMEOUT)? {
-            Frame::Document(text) => Ok(serve::response(
-                200,
-                "application/json",
-                serve::Body::whole(text),
-            )),
-            Frame::Configured {
-                generation,
-                hash,
-                changes,
-                resent,
-            } => {
-                let hash = hash.to_string();
-                Ok(serve::json(
-                    200,
-                    &serde_json::json!({
-                        "generation": generation,
-                        "hash": hash,
-                        "changes": changes,
-                        "resent": resent,
-                    }),
-                ))
-            }
-            _ => Ok(serve::json(200, &serde_json::json!({ "ok": true }))),
-        }
-    }
-}
-
-fn query(name: &str) -> Option<frame::Query> {
-    Some(match name {
-        "status" => frame::Query::Status,
-        "accounts" => frame::Query::Accounts,
-        "jobs" => frame::Query::Jobs,
-        "workers" => frame::Query::Workers,
-        "targets" => frame::Query::Targets,
-        "members" => frame::Query::Members,
-        "burn" => frame::Query::Burn,
-        "config" => frame::Query::Config,
-        _ => return None,
-    })
-}
-
-fn unknown_path(path: &str) -> error::Error {
-    error::Error::new(
-        error::Kind::UnknownPath,
-        format!("nothing is served at {path}"),
-    )
-}
--- a/src/control/flow.rs
+++ b/src/control/flow.rs
@@ -95,7 +95,7 @@
                 self.planner.report(clock::mono_ms(), *report);
                 reply.send(Frame::Ok);
             }
-            Call::Members | Call::Join { .. } => {
+            Call::Members | Call::Join { .. } | Call::Enrol(_) => {
                 reply.send(Frame::FlowReply(Reply::Members(self.members.clone())));
             }
         }
--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -169,6 +169,20 @@
         Err(error::Error::new(error::Kind::NoQuorum, detail).with_ran(ran))
     }
 
+    /// Calls the member in this process.
+    ///
+    /// # Errors
+    /// The error of the call, or `Internal` if this process has no member.
+    pub fn call_self(&self, frame: Frame, timeout: Duration) -> wire::Result<Frame> {
+        let addr = self.transport.local_addr().ok_or_else(|| {
+            error::Error::new(
+                error::Kind::Internal,
+                "this process is not a control member",
+            )
+        })?;
+        self.transport.call(addr, frame, timeout)
+    }
+
     /// Calls the member at a position in the list of members; positions wrap around.
     ///
     /// # Errors
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -17,6 +17,7 @@
 use crate::control::flow::Coordinator;
 use crate::control::join;
 use crate::control::leader;
+use crate::control::size;
 use crate::control::watch;
 use crate::error;
 use crate::flow::message;
@@ -50,8 +51,10 @@
 #[derive(Clone, Debug)]
 pub struct Options {
     pub name: String,
-    pub region: String,
+    pub place: size::Place,
     pub addr: SocketAddr,
+    /// What the group must bear; `None` if operators add and remove members by hand.
+    pub goal: Option<size::Goal>,
     pub leader: leader::Options,
 }
 
@@ -73,6 +76,10 @@
     /// Decides on jobs of several steps, while this member is the leader.
     coordinator: Option<Coordinator>,
     join_requests: join::Requests,
+    /// Places of the members, as they have told this leader.
+    places: BTreeMap<Id, size::Place>,
+    /// Limits log lines on the group's state.
+    notices: group::Notices,
     transport: transport::Transport,
     disk: channel::Sender<disk::Request>,
     snapshot: Option<store::Snapshot>,
@@ -110,6 +117,7 @@
         };
         let mut watchers = watch::Watchers::default();
         watchers.reset(ledger.applied());
+        let place = options.place.clone();
         Ok(Self {
             options,
             node: node::Node::new(start, node::Timing::default(), clock::mono_ms()),
@@ -117,6 +125,8 @@
             leader: None,
             coordinator: None,
             join_requests: join::Requests::default(),
+            places: BTreeMap::from([(id, place)]),
+            notices: group::Notices::default(),
             transport,
             disk,
             snapshot: recovered.snapshot,
@@ -211,6 +221,10 @@
     fn handle_call(&mut self, frame: Frame, reply: call::Reply) {
         match frame {
             Frame::Raft { message, addr } => {
+                if let Err(err) = self.check_identity(message.from, addr) {
+                    reply.fail(err);
+                    return;
+                }
                 self.peers.insert(message.from, addr);
                 let effects = self.node.receive(clock::mono_ms(), message);
                 self.perform(effects);
@@ -269,6 +283,7 @@
             Frame::Flow(message::Call::Join { id, addr, blank }) => {
                 self.join(id, addr, blank, reply);
             }
+            Frame::Flow(message::Call::Enrol(enrolment)) => self.enrol(enrolment, reply),
             Frame::Flow(call) => {
                 if let Some(coordinator) = &mut self.coordinator {
                     coordinator.call(self.ledger.flow(), self.ledger.applied(), call, reply);
--- a/src/control/member/admin.rs
+++ b/src/control/member/admin.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::control::leader;
 use crate::control::member::{Member, flow};
+use crate::control::size;
 use crate::explain;
 use crate::ledger;
 use crate::ledger::burn;
@@ -42,7 +43,9 @@
     document(&json!({
         "member": node.id(),
         "name": member.options().name,
-        "region": member.options().region,
+        "region": member.options().place.region,
+        "domain": member.options().place.domain,
+        "group": member.group_status(),
         "role": role,
         "leader": node.leader(),
         "term": node.term(),
@@ -282,23 +285,21 @@
 
 fn members(member: &Member) -> Value {
     let node = member.node();
-    let row = |(id, addr): (&u64, &std::net::SocketAddr), votes: bool| {
+    let row = |standing: &size::Standing| {
+        let place = standing.place.clone().unwrap_or_default();
         json!({
-            "id": id,
-            "addr": addr,
-            "votes": votes,
-            "leader": node.leader() == Some(*id),
-            "matched": if *id == node.id() { Some(node.last_index()) } else { node.match_index(*id) },
+            "id": standing.id,
+            "addr": standing.addr,
+            "votes": standing.is_voter,
+            "leader": standing.is_leader,
+            "domain": place.domain,
+            "region": place.region,
+            "silent_ms": standing.silent_ms,
+            "matched": if standing.is_leader { Some(node.last_index()) } else { node.match_index(standing.id) },
             "last": node.last_index(),
         })
     };
-    let voters = node.members().voters.iter().map(|entry| row(entry, true));
-    let learners = node
-        .members()
-        .learners
-        .iter()
-        .map(|entry| row(entry, false));
-    Value::Array(voters.chain(learners).collect())
+    Value::Array(member.standings().iter().map(row).collect())
 }
 
 fn burn(member: &Member, leader: &leader::Leader) -> Value {
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -272,10 +272,15 @@
         members.push(control::daemon::start(control::daemon::Options {
             id: *id,
             name: format!("control-{id}"),
-            region: region.to_owned(),
+            place: control::size::Place {
+                domain: region.to_owned(),
+                region: region.to_owned(),
+            },
             listen: *addr,
             http: loopback(port),
             data,
+            max_aside_bytes: control::daemon::MAX_ASIDE_BYTES,
+            goal: None,
             operator_token: OPERATOR_TOKEN.to_owned(),
             retention: Duration::from_secs(86_400),
             delay: Duration::ZERO,
--- a/src/flow/message.rs
+++ b/src/flow/message.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::control::size;
 use crate::flow::catalog;
 use crate::flow::job;
 use crate::flow::registry;
@@ -148,6 +149,18 @@
         /// Whether the member's log is empty.
         blank: bool,
     },
+    /// As `Join`, with the place of the member, which also members of the group send.
+    Enrol(Enrolment),
+}
+
+/// A control member's description of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Enrolment {
+    pub id: u64,
+    pub addr: SocketAddr,
+    /// Whether the member's log is empty.
+    pub blank: bool,
+    pub place: size::Place,
 }
 
 /// The leader's reply.
--- a/src/query/status.rs
+++ b/src/query/status.rs
@@ -68,6 +68,10 @@
         "fresh",
     ];
     console::print(args.format, &members, &columns)?;
+    let mut rows = members.as_array().into_iter().flatten();
+    if let Some(leader) = rows.find(|member| !member["group"].is_null()) {
+        println!("\n{}", group_line(&leader["group"]));
+    }
     let leader = members.as_array().into_iter().flatten().find(|member| {
         member["processes"]
             .as_array()
@@ -88,3 +92,22 @@
     }
     Ok(())
 }
+
+/// Renders the size of the control group and the losses that it bears.
+fn group_line(group: &Value) -> String {
+    let bears = &group["bears"];
+    let declared = match &group["declared"] {
+        Value::Null => String::new(),
+        losses => format!(" of {} declared", losses["instances"]),
+    };
+    format!(
+        "control group: {} voters ({} wanted), {} standbys, bears the loss of {} instances{declared}, \
+         {} failure domains, {} regions",
+        group["voters"],
+        group["wanted"],
+        group["standbys"],
+        bears["instances"],
+        bears["domains"],
+        bears["regions"],
+    )
+}
--- a/src/raft/members.rs
+++ b/src/raft/members.rs
@@ -12,7 +12,24 @@
 pub type Result<T> = error::Result<T>;
 
 /// Maximum number of members, voters and learners together.
-pub const MAX_MEMBERS: usize = 7;
+pub const MAX_MEMBERS: usize = 16;
+
+/// Maximum number of voters; there is one more while a voter is being replaced.
+pub const MAX_VOTERS: usize = 7;
+
+/// Highest identity that is assigned by operators or derived from an address; random ones are
+/// higher.
+const MAX_ASSIGNED_ID: Id = u32::MAX as Id;
+
+/// Draws an identity that no other member has.
+pub fn random_id() -> Id {
+    loop {
+        let id: Id = rand::random();
+        if id > MAX_ASSIGNED_ID {
+            return id;
+        }
+    }
+}
 
 /// Members of the control group, as recorded in the log.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,7 +42,7 @@
     pub removed: BTreeSet<Id>,
 }
 
-/// A change that adds, promotes or removes one member.
+/// A change that adds, promotes, demotes or removes one member.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// Adds a learner.
@@ -34,6 +51,8 @@
     Promote { id: Id },
     /// Removes a voter or learner.
     Remove { id: Id },
+    /// Makes a voter a learner, which keeps its log and may be promoted again.
+    Demote { id: Id },
 }
 
 impl Members {
@@ -64,6 +83,29 @@
             .copied()
     }
 
+    /// Returns the address under which the group knows a member, if it is another one than `addr`. A
+    /// process at that other address must not act as the member. An address without an IP, as of a
+    /// process that listens on all of them, is compared by its port.
+    pub fn conflicting_addr(&self, id: Id, addr: SocketAddr) -> Option<SocketAddr> {
+        self.addr(id).filter(|known| {
+            let is_any = addr.ip().is_unspecified() || known.ip().is_unspecified();
+            known.port() != addr.port() || !is_any && known.ip() != addr.ip()
+        })
+    }
+
+    /// Checks that a process at `addr` may use an identity.
+    ///
+    /// # Errors
+    /// `InvalidMember` if the group knows the identity at another address.
+    pub fn check_identity(&self, id: Id, addr: SocketAddr) -> Result<()> {
+        match self.conflicting_addr(id, addr) {
+            Some(known) => Err(invalid(format!(
+                "member {id} is at {known}, a process at {addr} must use another identity"
+            ))),
+            None => Ok(()),
+        }
+    }
+
     /// Returns all voters and learners except the given one.
     pub fn others(&self, id: Id) -> Vec<Id> {
         let all = self.voters.keys().chain(self.learners.keys());
@@ -80,6 +122,7 @@
             Change::Add { id, addr } => next.add(*id, *addr)?,
             Change::Promote { id } => next.promote(*id)?,
             Change::Remove { id } => next.remove(*id)?,
+            Change::Demote { id } => next.demote(*id)?,
         }
         Ok(next)
     }
@@ -100,6 +143,11 @@
     }
 
     fn promote(&mut self, id: Id) -> Result<()> {
+        if self.voters.len() > MAX_VOTERS {
+            return Err(invalid(format!(
+                "cannot promote member {id}: the group has more than {MAX_VOTERS} voters already"
+            )));
+        }
         let addr = self
             .learners
             .remove(&id)
@@ -109,10 +157,20 @@
     }
 
     fn remove(&mut self, id: Id) -> Result<()> {
-        if self.learners.remove(&id).is_some() {
-            self.removed.insert(id);
-            return Ok(());
+        if self.learners.remove(&id).is_none() {
+            self.remove_voter(id)?;
         }
+        self.removed.insert(id);
+        Ok(())
+    }
+
+    fn demote(&mut self, id: Id) -> Result<()> {
+        let addr = self.remove_voter(id)?;
+        self.learners.insert(id, addr);
+        Ok(())
+    }
+
+    fn remove_voter(&mut self, id: Id) -> Result<SocketAddr> {
         if self.voters.len() == 1 && self.is_voter(id) {
             return Err(invalid(format!(
                 "cannot remove member {id}: it is the last voter"
@@ -120,9 +178,7 @@
         }
         self.voters
             .remove(&id)
-            .ok_or_else(|| invalid(format!("cannot remove member {id}: it is not in the group")))?;
-        self.removed.insert(id);
-        Ok(())
+            .ok_or_else(|| invalid(format!("cannot remove member {id}: it is not a voter")))
     }
 }
 
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -252,12 +252,12 @@
         self.has_committed_in_term() && self.transfer.is_none() && !is_change_pending
     }
 
-    /// Returns the time since this leader's last contact with another member, or since its election
-    /// if that is later; zero for a member that it does not track.
+    /// Returns the time since this leader's last contact with another member, or since it began to
+    /// track the member if that is later; zero for a member that it does not track.
     pub fn since_contact_ms(&self, id: Id) -> Millis {
         let progress = self.progress.get(&id);
         progress.map_or(0, |progress| {
-            let last_contact_ms = progress.acked_ms.max(self.elected_ms);
+            let last_contact_ms = progress.acked_ms.max(progress.added_ms);
             self.now.saturating_sub(last_contact_ms)
         })
     }
--- a/src/raft/node/lead.rs
+++ b/src/raft/node/lead.rs
@@ -3,15 +3,11 @@
 
 use std::collections::BTreeMap;
 
-use crate::raft::members;
 use crate::raft::message;
 use crate::raft::node::{ChunkRequest, Node, Role};
 use crate::raft::progress;
 use crate::raft::{Id, Index, Millis};
 
-/// Maximum lag of a learner behind the commit index, in entries, to be promoted to a voter.
-const PROMOTE_LAG_ENTRIES: Index = 64;
-
 impl Node {
     pub(super) fn become_leader(&mut self) {
         self.role = Role::Leader;
@@ -57,7 +53,6 @@
             self.become_follower(None);
             return;
         }
-        self.promote_learner();
         self.heartbeat();
     }
 
@@ -198,23 +193,6 @@
         }
     }
 
-    fn promote_learner(&mut self) {
-        if !self.has_committed_in_term() || self.log.has_members_change_after(self.commit_index) {
-            return;
-        }
-        let commit_index = self.commit_index;
-        let caught_up = self.members.learners.keys().copied().find(|id| {
-            let progress = self.progress.get(id);
-            progress.is_some_and(|p| {
-                p.match_index > 0 && p.match_index + PROMOTE_LAG_ENTRIES >= commit_index
-            })
-        });
-        let Some(id) = caught_up else { return };
-        if let Ok(next) = self.members.with(&members::Change::Promote { id }) {
-            self.append(message::Payload::Members(next));
-        }
-    }
-
     pub(super) fn start_transfer(&mut self) {
         if self.role != Role::Leader || self.transfer.is_some() {
             return;
--- a/src/raft/progress.rs
+++ b/src/raft/progress.rs
@@ -9,6 +9,8 @@
     pub match_index: Index,
     /// Next index to send.
     pub next_index: Index,
+    /// Time at which the leader began to track the member.
+    pub added_ms: Millis,
     /// Leader's clock when it sent the latest message that the member has answered.
     pub acked_ms: Millis,
     /// Time of the last message to the member.
@@ -33,6 +35,7 @@
         Self {
             match_index: 0,
             next_index,
+            added_ms: now_ms,
             acked_ms: 0,
             sent_ms: 0,
             window_opened_ms: now_ms,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -8,7 +8,7 @@
 
 use crate::agent;
 use crate::agent::answers;
-use crate::control;
+use crate::control::{self, size};
 use crate::entry;
 
 /// Minimum length of an operator token, in bytes.
@@ -53,6 +53,14 @@
     /// Data folder, prepared with `oriolereel init`
     #[arg(long, env = "ORIOLEREEL_DATA")]
     pub data: PathBuf,
+    /// Failure domain of this instance
+    #[arg(long, env = "ORIOLEREEL_DOMAIN", value_parser = parse_name, default_value = "default")]
+    pub domain: String,
+    /// Instances that the control group must be able to lose at the same time. With it, members are
+    /// promoted, replaced and demoted by themselves; without it, only by `oriolereel member`
+    #[arg(long, env = "ORIOLEREEL_TOLERATE",
+          value_parser = clap::value_parser!(u64).range(1..=3))]
+    pub tolerate: Option<u64>,
     /// Token that operators must send, at least 8 bytes
     #[arg(long, env = "ORIOLEREEL_OPERATOR_TOKEN", value_parser = parse_token,
           hide_env_values = true)]
@@ -133,10 +141,15 @@
         control::daemon::Options {
             id: self.id,
             name: self.common.name.clone(),
-            region: self.common.region.clone(),
+            place: size::Place {
+                domain: self.domain.clone(),
+                region: self.common.region.clone(),
+            },
             listen: self.listen,
             http: self.http,
             data: self.data.clone(),
+            max_aside_bytes: control::daemon::MAX_ASIDE_BYTES,
+            goal: self.tolerate.map(goal),
             operator_token: self.operator_token.clone(),
             retention: Duration::from_secs(self.retention_s),
             delay: Duration::from_millis(self.common.delay_ms),
@@ -194,6 +207,20 @@
     }
 }
 
+/// Silence after which a standby takes the place of a voter.
+const REPLACEMENT_SILENCE_MS: u64 = 5_000;
+
+fn goal(instances: u64) -> size::Goal {
+    size::Goal {
+        losses: size::Losses {
+            instances: instances as usize,
+            domains: 0,
+            regions: 0,
+        },
+        silence_ms: REPLACEMENT_SILENCE_MS,
+    }
+}
+
 fn parse_name(text: &str) -> std::result::Result<String, String> {
     let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
     if text.is_empty() || text.len() > 64 || !text.bytes().all(is_allowed) {
--- a/src/store.rs
+++ b/src/store.rs
@@ -9,6 +9,9 @@
 pub mod batch;
 pub mod disk;
 pub mod folder;
+pub mod identity;
+
+pub use identity::{Identity, init};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -26,19 +29,6 @@
 /// Size of a segment at which the next write starts a new one.
 const SEGMENT_BYTES: u64 = 16 << 20;
 
-/// Name of the file that holds the folder's `Identity`.
-const IDENTITY_FILE: &str = "identity.json";
-
-/// Version of the file formats in the folder.
-const FORMAT_VERSION: u32 = 1;
-
-/// The member that a data folder belongs to, and the format version of its files.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Identity {
-    pub id: Id,
-    pub format: u32,
-}
-
 /// A record in a batch.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Record {
@@ -107,70 +97,6 @@
     hard_state: message::HardState,
 }
 
-/// Initializes a folder for a founding member, given the group's initial membership, or for a
-/// member that joins later, without one.
-///
-/// # Errors
-/// `Storage` if the folder already belongs to a member or cannot be written.
-pub fn init<D: disk::Disk>(disk: &mut D, id: Id, initial: Option<members::Members>) -> Result<()> {
-    if disk.list()?.iter().any(|name| name == IDENTITY_FILE) {
-        return Err(error::Error::new(
-            error::Kind::Storage,
-            format!(
-                "{}: the folder already belongs to a member",
-                disk.display_path(IDENTITY_FILE)
-            ),
-        ));
-    }
-    // Removes files left over from an interrupted initialization or `wipe`.
-    remove_all(disk)?;
-    let identity = Identity {
-        id,
-        format: FORMAT_VERSION,
-    };
-    if let Some(members) = initial {
-        let payload = message::Payload::Members(members);
-        let first = message::Entry {
-            index: 1,
-            term: 0,
-            payload,
-        };
-        let records = [Record::Append(vec![first])];
-        disk.append(&segment_name(1), &batch::encode(1, &records)?)?;
-        disk.sync(&segment_name(1))?;
-    }
-    let text = serde_json::to_vec(&identity).map_err(encode_error)?;
-    disk.replace(IDENTITY_FILE, &text)
-}
-
-/// Returns the member that the folder belongs to, if it has been initialized.
-///
-/// # Errors
-/// `Storage` if the folder cannot be read.
-pub fn identity<D: disk::Disk>(disk: &mut D) -> Result<Option<Id>> {
-    if !disk.list()?.iter().any(|name| name == IDENTITY_FILE) {
-        return Ok(None);
-    }
-    read_identity(disk).map(|identity| Some(identity.id))
-}
-
-/// Empties the folder, so that its member cannot come back under its old identity.
-///
-/// # Errors
-/// `Storage` if the disk fails.
-pub fn wipe<D: disk::Disk>(disk: &mut D) -> Result<()> {
-    // The identity is removed first: without it, files that an interruption leaves are ignored.
-    disk.remove(IDENTITY_FILE)?;
-    remove_all(disk)
-}
-
-fn remove_all<D: disk::Disk>(disk: &mut D) -> Result<()> {
-    for name in disk.list()? {
-        disk.remove(&name)?;
-    }
-    Ok(())
-}
-
 impl<D: disk::Disk> Store<D> {
     /// Opens the folder of a member and reads its state.
     ///
@@ -178,7 +104,7 @@
     /// `Storage` if the folder is not initialized, belongs to another member or is damaged; the
     /// detail names the file and, for damage, the offset.
     pub fn open(mut disk: D, id: Id) -> Result<(Self, Recovered)> {
-        check_identity(&mut disk, id)?;
+        identity::check(&mut disk, id)?;
         let snapshot = read_snapshot(&mut disk)?;
         let mut replay = Replay::new(snapshot.as_ref());
         let segments = list_segments(&disk)?;
@@ -410,41 +336,6 @@
     )
 }
 
-fn check_identity<D: disk::Disk>(disk: &mut D, id: Id) -> Result<()> {
-    let storage_error = |detail: String| error::Error::new(error::Kind::Storage, detail);
-    if !disk.list()?.iter().any(|name| name == IDENTITY_FILE) {
-        return Err(storage_error(format!(
-            "{}: not found; initialize the folder with `oriolereel init`, or replace a member that \
-             lost its disk with `oriolereel member`",
-            disk.display_path(IDENTITY_FILE)
-        )));
-    }
-    let identity = read_identity(disk)?;
-    if identity.id != id {
-        let name = disk.display_path(IDENTITY_FILE);
-        return Err(storage_error(format!(
-            "{name}: the folder belongs to member {}, not {id}",
-            identity.id
-        )));
-    }
-    Ok(())
-}
-
-fn read_identity<D: disk::Disk>(disk: &mut D) -> Result<Identity> {
-    let storage_error = |detail: String| error::Error::new(error::Kind::Storage, detail);
-    let text = disk.read(IDENTITY_FILE)?;
-    let identity: Identity = serde_json::from_slice(&text)
-        .map_err(|err| storage_error(format!("{}: {err}", disk.display_path(IDENTITY_FILE))))?;
-    if identity.format != FORMAT_VERSION {
-        let name = disk.display_path(IDENTITY_FILE);
-        return Err(storage_error(format!(
-            "{name}: format version {} is not supported, expected {FORMAT_VERSION}",
-            identity.format
-        )));
-    }
-    Ok(identity)
-}
-
 fn read_snapshot<D: disk::Disk>(disk: &mut D) -> Result<Option<Snapshot>> {
     let Some(index) = list_snapshots(disk)?.last().copied() else {
         return Ok(None);
--- a/src/store/disk.rs
+++ b/src/store/disk.rs
@@ -41,6 +41,18 @@
     /// `Storage` if the disk fails.
     fn truncate(&mut self, name: &str, bytes: u64) -> Result<()>;
 
+    /// Renames a file durably; a file of the new name is replaced.
+    ///
+    /// # Errors
+    /// `Storage` if the disk fails.
+    fn rename(&mut self, from: &str, to: &str) -> Result<()>;
+
+    /// Returns the size of a file in bytes.
+    ///
+    /// # Errors
+    /// `Storage` if the file cannot be read.
+    fn size(&self, name: &str) -> Result<u64>;
+
     /// Removes a file.
     ///
     /// # Errors
--- a/src/store/folder.rs
+++ b/src/store/folder.rs
@@ -113,6 +113,19 @@
         file.sync_all().map_err(|err| storage_error(&path, &err))
     }
 
+    fn rename(&mut self, from: &str, to: &str) -> Result<()> {
+        self.open = None;
+        let path = self.path.join(from);
+        fs::rename(&path, self.path.join(to)).map_err(|err| storage_error(&path, &err))?;
+        self.sync_folder()
+    }
+
+    fn size(&self, name: &str) -> Result<u64> {
+        let path = self.path.join(name);
+        let metadata = fs::metadata(&path).map_err(|err| storage_error(&path, &err))?;
+        Ok(metadata.len())
+    }
+
     fn remove(&mut self, name: &str) -> Result<()> {
         let path = self.path.join(name);
         if self.open.as_ref().is_some_and(|(open, _file)| open == name) {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -262,6 +262,42 @@
 pub static LEADER: LazyLock<IntGauge> =
     LazyLock::new(|| gauge("oriolereel_leader", "1 while this member leads"));
 
+/// Voters of the control group.
+pub static VOTERS: LazyLock<IntGauge> =
+    LazyLock::new(|| gauge("oriolereel_group_voters", "Voters of the control group"));
+
+/// Voters that the declared losses require.
+pub static WANTED_VOTERS: LazyLock<IntGauge> = LazyLock::new(|| {
+    gauge(
+        "oriolereel_group_wanted_voters",
+        "Voters that the declared losses require",
+    )
+});
+
+/// Members of the control group that receive the log without a vote.
+pub static STANDBYS: LazyLock<IntGauge> = LazyLock::new(|| {
+    gauge(
+        "oriolereel_group_standbys",
+        "Members of the control group without a vote",
+    )
+});
+
+/// Instances that the control group can lose now without losing its quorum.
+pub static BORNE_LOSSES: LazyLock<IntGauge> = LazyLock::new(|| {
+    gauge(
+        "oriolereel_group_borne_losses",
+        "Instances that the control group can lose now",
+    )
+});
+
+/// Calls refused because the group knows the identity at another address.
+pub static IDENTITY_CONFLICTS: LazyLock<IntCounter> = LazyLock::new(|| {
+    counter(
+        "oriolereel_identity_conflicts_total",
+        "Calls refused because the group knows the identity at another address",
+    )
+});
+
 /// Current election term.
 pub static TERM: LazyLock<IntGauge> =
     LazyLock::new(|| gauge("oriolereel_term", "Current election term"));
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -22,6 +22,8 @@
 mod join;
 #[path = "tests/limit.rs"]
 mod limit;
+#[path = "tests/membership.rs"]
+mod membership;
 #[path = "tests/operators.rs"]
 mod operators;
 #[path = "tests/raft.rs"]
--- a/tests/tests/disk.rs
+++ b/tests/tests/disk.rs
@@ -93,6 +93,19 @@
         Ok(())
     }
 
+    fn rename(&mut self, from: &str, to: &str) -> store::Result<()> {
+        let mut state = self.state();
+        let data = state.files.remove(from).ok_or_else(disk_full)?;
+        state.files.insert(to.to_owned(), data);
+        Ok(())
+    }
+
+    fn size(&self, name: &str) -> store::Result<u64> {
+        let state = self.state();
+        let file = state.files.get(name).ok_or_else(disk_full)?;
+        Ok(file.len() as u64)
+    }
+
     fn remove(&mut self, name: &str) -> store::Result<()> {
         self.state()
             .files
--- a/tests/tests/operators.rs
+++ b/tests/tests/operators.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use oriolereel::console::Console;
-use oriolereel::control::daemon;
 use oriolereel::control::group::Group;
+use oriolereel::control::{daemon, size};
 use oriolereel::dev;
 use oriolereel::flow::catalog::{Account, Catalog, Queue};
 use oriolereel::flow::job::{Amount, Spec, Step};
@@ -37,7 +37,9 @@
         let member = daemon::start(daemon::Options {
             id: 1,
             name: "control-1".to_owned(),
-            region: "east".to_owned(),
+            place: size::Place::default(),
+            goal: None,
+            max_aside_bytes: daemon::MAX_ASIDE_BYTES,
             listen: reservation.addr(),
             http: dev::loopback(0),
             data: dir.path().to_path_buf(),
--- a/tests/tests/raft.rs
+++ b/tests/tests/raft.rs
@@ -4,7 +4,7 @@
 #[path = "raft/cases.rs"]
 mod cases;
 #[path = "raft/fake.rs"]
-mod fake;
+pub mod fake;
 #[path = "raft/step.rs"]
 mod step;
 
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 use oriolereel::config::{self, diff};
+use oriolereel::control::size;
 use oriolereel::ledger::Ledger;
 use oriolereel::ledger::command::{Batch, Command};
 use oriolereel::raft::members::{self, Members};
@@ -345,6 +346,7 @@
             for id in self.members.keys().copied().collect::<Vec<_>>() {
                 self.with_node(id, Node::tick);
             }
+            self.promote_learner();
             for _round in 0..6 {
                 for message in std::mem::take(&mut self.network) {
                     if !self.blocked.contains(&(message.from, message.to)) {
@@ -357,6 +359,23 @@
         }
     }
 
+    /// Makes the leader promote a learner that has caught up, as a control member does.
+    fn promote_learner(&mut self) {
+        let Some(leader) = self.leader() else { return };
+        let Some(running) = self.running(leader) else {
+            return;
+        };
+        let standings = size::standings(&running.node, &BTreeMap::new());
+        let group = size::Group {
+            standings: &standings,
+            newcomers: &[],
+            goal: None,
+        };
+        if let Some(change) = group.next_change() {
+            drop(self.change(leader, &change));
+        }
+    }
+
     /// Replaces a member that lost its disk by a new one under a new identity.
     ///
     /// Does nothing while an earlier replacement is incomplete: losing another disk before that is
--- a/tests/tests/raft/fake.rs
+++ b/tests/tests/raft/fake.rs
@@ -83,6 +83,20 @@
         Ok(())
     }
 
+    fn rename(&mut self, from: &str, to: &str) -> store::Result<()> {
+        self.count_operation()?;
+        if let Some(data) = self.files.remove(from) {
+            self.synced.remove(from);
+            self.synced.insert(to.to_owned(), data.len());
+            self.files.insert(to.to_owned(), data);
+        }
+        Ok(())
+    }
+
+    fn size(&self, name: &str) -> store::Result<u64> {
+        Ok(self.files.get(name).map_or(0, Vec::len) as u64)
+    }
+
     fn remove(&mut self, name: &str) -> store::Result<()> {
         self.count_operation()?;
         self.files.remove(name);
--- a/tests/tests/store.rs
+++ b/tests/tests/store.rs
@@ -5,7 +5,7 @@
 use oriolereel::raft::members::Members;
 use oriolereel::raft::message::{Entry, HardState, Payload};
 use oriolereel::raft::node::Write;
-use oriolereel::store::{self, Store, folder};
+use oriolereel::store::{self, Store, disk, folder};
 use oriolereel::{dev, error};
 
 fn entry(index: u64) -> Write {
@@ -164,3 +164,95 @@
         "{names:?}"
     );
 }
+
+#[test]
+fn the_data_of_a_replaced_member_is_set_aside_whole_or_removed() {
+    struct Case {
+        name: &'static str,
+        /// Files of an earlier replaced member, and whether this one's identity is set aside already,
+        /// as after an interruption.
+        before: &'static [&'static str],
+        is_interrupted: bool,
+        max_bytes: u64,
+        /// Names of the files that are kept aside.
+        kept: &'static [&'static str],
+    }
+    let both: &'static [&'static str] = &[
+        "replaced-identity.json",
+        "replaced-segment-000000000001.log",
+    ];
+    let cases = [
+        Case {
+            name: "the first",
+            before: &[],
+            is_interrupted: false,
+            max_bytes: u64::MAX,
+            kept: both,
+        },
+        Case {
+            name: "an earlier one is removed",
+            before: &[
+                "replaced-identity.json",
+                "replaced-snapshot-0000000000000009.bin",
+            ],
+            is_interrupted: false,
+            max_bytes: u64::MAX,
+            kept: both,
+        },
+        Case {
+            name: "an interruption is continued",
+            before: &[],
+            is_interrupted: true,
+            max_bytes: u64::MAX,
+            kept: both,
+        },
+        Case {
+            name: "too large for the disk",
+            before: &[],
+            is_interrupted: false,
+            max_bytes: 10,
+            kept: &[],
+        },
+    ];
+    for case in cases {
+        let dir = tempfile::tempdir().expect("a folder");
+        fill_folder(dir.path());
+        for name in case.before {
+            std::fs::write(dir.path().join(name), b"earlier").expect("written");
+        }
+        if case.is_interrupted {
+            let path = |name| dir.path().join(name);
+            std::fs::rename(path("identity.json"), path("replaced-identity.json"))
+                .expect("renamed");
+        }
+        let mut disk = folder::Folder::open(dir.path()).expect("a folder");
+        let next = store::Identity::from(900);
+        store::identity::renew(&mut disk, next, 5, case.max_bytes).expect(case.name);
+        let recovered = open(dir.path(), 900).expect(case.name);
+        assert!(recovered.log.is_blank(), "{}", case.name);
+        let found = store::identity::identity(&mut disk).expect(case.name);
+        assert_eq!(found.and_then(|identity| identity.set_aside_ms), Some(5));
+        let names = disk::Disk::list(&disk).expect("a folder");
+        let mut aside: Vec<&str> = names
+            .iter()
+            .map(String::as_str)
+            .filter(|name| name.starts_with("replaced-"))
+            .collect();
+        aside.sort_unstable();
+        assert_eq!(aside, case.kept, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_folder_of_an_earlier_version_keeps_its_identity() {
+    let dir = tempfile::tempdir().expect("a folder");
+    fill_folder(dir.path());
+    std::fs::write(dir.path().join("identity.json"), br#"{"id":1,"format":1}"#).expect("written");
+    let mut disk = folder::Folder::open(dir.path()).expect("a folder");
+    let found = store::identity::identity(&mut disk).expect("readable");
+    assert_eq!(
+        found.map(|identity| (identity.id, identity.addr)),
+        Some((1, None))
+    );
+    open(dir.path(), 1).expect("a readable folder");
+}
