--- a/src/control.rs
+++ b/src/control.rs
@@ -9,5 +9,6 @@
 pub mod join;
 pub mod leader;
 pub mod member;
+pub mod probe;
 pub mod size;
 pub mod watch;
--- a/src/control/flow.rs
+++ b/src/control/flow.rs
@@ -8,6 +8,7 @@
 use crate::flow::message::{Call, Orders, Poll, Reply, Request};
 use crate::flow::planner::{self, Planner};
 use crate::flow::registry::Registry;
+use crate::map;
 use crate::raft::Index;
 use crate::wire::call;
 use crate::wire::frame::Frame;
@@ -41,6 +42,8 @@
     /// Replies whose commands have not been proposed yet.
     unproposed: Vec<(call::Reply, Reply)>,
     members: Vec<SocketAddr>,
+    /// Agents that have had an answer to a poll from this leader.
+    greeted: map::Set<String>,
 }
 
 impl Coordinator {
@@ -54,6 +57,7 @@
             pending_replies: Vec::new(),
             unproposed: Vec::new(),
             members: Vec::new(),
+            greeted: map::Set::default(),
         }
     }
 
@@ -163,7 +167,8 @@
             let worker = key.and_then(|key| registry.worker(key));
             let changed =
                 worker.is_some_and(|worker| worker.changed_index > pending.poll.seen_index);
-            let is_first_poll = pending.poll.seen_index == 0 && worker.is_some();
+            // An agent must hear of a new leader at once, and reports to it then.
+            let is_first_poll = worker.is_some() && !self.greeted.contains(&pending.poll.instance);
             if !changed && !is_first_poll && now < pending.until_ms {
                 self.pending_polls.push(pending);
                 continue;
@@ -173,6 +178,7 @@
                 self.pending_polls.push(pending);
                 continue;
             }
+            self.greeted.insert(pending.poll.instance.clone());
             let orders = Orders {
                 token: self.token,
                 members: self.members.clone(),
--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -7,7 +7,6 @@
 
 use crossbeam::channel;
 
-use crate::clock;
 use crate::error;
 use crate::flow::message::{Call, Reply};
 use crate::limit;
@@ -31,6 +30,9 @@
 /// Longest pause before a retry.
 const MAX_RETRY_DELAY_MS: u64 = 400;
 
+/// Longest pause before another search for the leader. Members hold a query while there is none.
+const MAX_SEARCH_DELAY_MS: u64 = 100;
+
 /// Retries earned per hundred successful calls.
 const RETRY_PERCENT: u64 = 20;
 
@@ -130,7 +132,9 @@
         while attempts == 0 || start.elapsed() < limit {
             attempts += 1;
             let remaining = limit.saturating_sub(start.elapsed());
-            if let Some(addr) = self.leader(remaining) {
+            let leader = self.leader(remaining);
+            let found_leader = leader.is_some();
+            if let Some(addr) = leader {
                 let remaining = (limit + wait).saturating_sub(start.elapsed());
                 let timeout = timeout.min(remaining.max(Duration::from_millis(100)));
                 match self.transport.call(addr, frame.clone(), timeout) {
@@ -154,21 +158,30 @@
                     }
                 }
             }
-            let allowed = self.shared().budget.try_retry();
-            let pause = limit::backoff_ms(
-                attempts,
-                RETRY_DELAY_MS,
-                MAX_RETRY_DELAY_MS,
-                clock::incarnation() >> 7,
-            );
-            // Without retry budget, attempts continue at the slowest pace.
-            let pause = if allowed { pause } else { MAX_RETRY_DELAY_MS };
-            thread::sleep(Duration::from_millis(pause).min(limit.saturating_sub(start.elapsed())));
+            let pause = Duration::from_millis(self.pause_ms(attempts, found_leader));
+            thread::sleep(pause.min(limit.saturating_sub(start.elapsed())));
         }
         let detail = format!("no control leader answered in time: {last_error}");
         Err(error::Error::new(error::Kind::NoQuorum, detail).with_ran(ran))
     }
 
+    /// Returns the pause before the next attempt. A search that has failed costs no member more than
+    /// a query, so the next one follows soon; calls that have failed are limited by the budget.
+    fn pause_ms(&self, attempts: u32, found_leader: bool) -> u64 {
+        let random: u64 = rand::random();
+        if !found_leader {
+            return limit::backoff_ms(attempts, RETRY_DELAY_MS, MAX_SEARCH_DELAY_MS, random);
+        }
+        // Without retry budget, attempts continue at the slowest pace.
+        let is_allowed = self.shared().budget.try_retry();
+        let pause_ms = limit::backoff_ms(attempts, RETRY_DELAY_MS, MAX_RETRY_DELAY_MS, random);
+        if is_allowed {
+            pause_ms
+        } else {
+            MAX_RETRY_DELAY_MS
+        }
+    }
+
     /// Calls the member in this process.
     ///
     /// # Errors
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -4,6 +4,7 @@
 mod admin;
 mod flow;
 mod group;
+mod search;
 mod snapshot;
 
 use std::collections::BTreeMap;
@@ -17,6 +18,7 @@
 use crate::control::flow::Coordinator;
 use crate::control::join;
 use crate::control::leader;
+use crate::control::probe;
 use crate::control::size;
 use crate::control::watch;
 use crate::error;
@@ -86,6 +88,10 @@
     is_saving_snapshot: bool,
     watchers: watch::Watchers,
     job_polls: BTreeMap<JobId, Vec<JobPoll>>,
+    /// Queries for the leader that wait until there is one.
+    queries: Vec<search::Query>,
+    probe: probe::Probe,
+    last_probe_ms: u64,
     pending_changes: Vec<(Index, call::Reply)>,
     /// Addresses of members, as given in their messages.
     peers: BTreeMap<Id, SocketAddr>,
@@ -97,7 +103,7 @@
     /// Creates a member from what its disk holds.
     ///
     /// # Errors
-    /// `Storage` when the snapshot cannot be decoded.
+    /// `Storage` when the snapshot cannot be decoded, `Internal` when no thread can be started.
     pub fn new(
         options: Options,
         id: Id,
@@ -133,6 +139,9 @@
             is_saving_snapshot: false,
             watchers,
             job_polls: BTreeMap::new(),
+            queries: Vec::new(),
+            probe: probe::Probe::start()?,
+            last_probe_ms: 0,
             pending_changes: Vec::new(),
             peers: BTreeMap::new(),
             leader_clock: (0, clock::mono_ms()),
@@ -174,9 +183,11 @@
 
     /// Advances the clocks and does periodic work.
     pub fn tick(&mut self) {
+        self.watch_leader();
         let effects = self.node.tick(clock::mono_ms());
         self.perform(effects);
         self.update_role();
+        self.answer_queries();
         if let Some(leader) = &mut self.leader {
             leader.tick(&self.ledger, clock::wall_ms());
         }
@@ -243,12 +254,7 @@
     fn handle_leader_call(&mut self, frame: Frame, reply: call::Reply) {
         self.update_role();
         if self.leader.is_none() || !self.node.has_lease() {
-            let other = self
-                .node
-                .leader()
-                .filter(|leader| *leader != self.node.id());
-            let leader = other.and_then(|id| self.addr_of(id));
-            reply.send(Frame::Redirect { leader });
+            self.redirect(&frame, reply);
             return;
         }
         let Some(leader) = &mut self.leader else {
--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -219,6 +219,8 @@
         if orders.token < self.token {
             return Vec::new();
         }
+        // A new leader places nothing before it knows what runs.
+        self.report_due |= orders.token > self.token;
         self.token = orders.token;
         let Some((key, info)) = orders.worker else {
             // If the log has no worker for this agent, none of the worker's runs is wanted.
--- a/src/flow/planner.rs
+++ b/src/flow/planner.rs
@@ -39,6 +39,10 @@
 /// reported or this time is over.
 const GATHER_TIMEOUT_MS: Millis = 700;
 
+/// Time without a first report from any worker after which the others are taken to be away, if most
+/// have reported.
+const GATHER_PAUSE_MS: Millis = 120;
+
 /// Settings of the planner, shared with the agents.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -110,6 +114,9 @@
     /// Time at which this member became leader; zero once all workers have reported or the time for
     /// that is over.
     gather_start_ms: Millis,
+    /// Number of workers that have reported since, and time of the last first report.
+    gathered: usize,
+    gathered_ms: Millis,
 }
 
 impl Planner {
@@ -126,6 +133,8 @@
             dirty: true,
             last_pass_ms: 0,
             gather_start_ms: now,
+            gathered: 0,
+            gathered_ms: now,
         };
         // The previous leader may have renewed any grant up to now.
         let lease_end_ms = planner.grant_end_ms();
@@ -282,7 +291,11 @@
         }
         observation.draining = report.draining;
         observation.responsive = report.responsive;
-        observation.reported = true;
+        if !observation.reported {
+            observation.reported = true;
+            self.gathered += 1;
+            self.gathered_ms = now;
+        }
         observation.listed_ms = observation.listed_ms.max(now.saturating_sub(report.age_ms));
         self.dirty |= was_unusable;
         if self
@@ -409,28 +422,27 @@
         std::mem::take(&mut self.commands)
     }
 
-    /// Reports whether all workers have reported since this member became leader, or the time for
-    /// that is over. Without the state of some workers, runs would be stopped for capacity that is
-    /// free on others.
+    /// Reports whether the workers have reported since this member became leader, or the time for that
+    /// is over. Without the state of some workers, runs would be stopped for capacity that is free on
+    /// others.
     fn has_gathered(&mut self) -> bool {
         if self.gather_start_ms == 0 {
             return true;
         }
-        let mut workers = self.projected.workers();
-        let all_reported = workers.all(|(key, _worker)| self.has_reported(key));
-        drop(workers);
-        if all_reported || self.now >= self.gather_start_ms + GATHER_TIMEOUT_MS {
+        let workers = self.projected.workers().count();
+        let are_others_away =
+            self.gathered * 2 > workers && self.now >= self.gathered_ms + GATHER_PAUSE_MS;
+        if self.gathered >= workers
+            || are_others_away
+            || self.now >= self.gather_start_ms + GATHER_TIMEOUT_MS
+        {
+            log::info!(workers = workers, reported = self.gathered;
+                "workers gathered after {} ms", self.now - self.gather_start_ms);
             self.gather_start_ms = 0;
         }
         self.gather_start_ms == 0
     }
 
-    fn has_reported(&self, key: WorkerKey) -> bool {
-        self.observations
-            .get(&key)
-            .is_some_and(|observation| observation.reported)
-    }
-
     /// Opens the occurrences that are due.
     fn open_due(&mut self) {
         let mut due: Vec<(JobId, u32)> = Vec::new();
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -39,6 +39,13 @@
     pub chunk_bytes: usize,
 }
 
+impl Timing {
+    /// Returns the duration of the leader lease.
+    pub fn lease_ms(&self) -> Millis {
+        self.election_timeout_ms * self.lease_percent / 100
+    }
+}
+
 impl Default for Timing {
     fn default() -> Self {
         Self {
@@ -136,6 +143,8 @@
     election_deadline_ms: Millis,
     /// Time of the last message from a leader, zero if there was none.
     leader_contact_ms: Millis,
+    /// Elections that this member still starts early because the leader's process has ended.
+    early_elections: u32,
     /// Votes received in the current election or pre-vote.
     votes: BTreeMap<Id, bool>,
     /// Replication state of the other members, while this member leads.
@@ -169,6 +178,7 @@
             applied_index,
             election_deadline_ms: 0,
             leader_contact_ms: 0,
+            early_elections: 0,
             votes: BTreeMap::new(),
             progress: BTreeMap::new(),
             transfer: None,
@@ -228,7 +238,7 @@
     /// Reports whether this member leads, is not transferring its leadership, and was confirmed by a
     /// quorum within the lease.
     pub fn has_lease(&self) -> bool {
-        let lease_ms = self.timing.election_timeout_ms * self.timing.lease_percent / 100;
+        let lease_ms = self.timing.lease_ms();
         let may_be_replaced = self.transfer.is_some();
         self.role == Role::Leader
             && !may_be_replaced
@@ -262,6 +272,11 @@
         })
     }
 
+    /// Returns the time since this member last heard from a leader.
+    pub fn since_leader_ms(&self) -> Millis {
+        self.now.saturating_sub(self.leader_contact_ms)
+    }
+
     /// Returns the highest index known to be durable on another member, if this member leads.
     pub fn match_index(&self, id: Id) -> Option<Index> {
         self.progress.get(&id).map(|progress| progress.match_index)
--- a/src/raft/node/follow.rs
+++ b/src/raft/node/follow.rs
@@ -35,6 +35,7 @@
             self.become_follower(Some(from));
         }
         self.leader_contact_ms = self.now;
+        self.early_elections = 0;
         self.reset_deadline();
         true
     }
--- a/src/raft/node/lead.rs
+++ b/src/raft/node/lead.rs
@@ -13,6 +13,7 @@
         self.role = Role::Leader;
         self.leader = Some(self.id);
         self.elected_ms = self.now;
+        self.early_elections = 0;
         self.transfer = None;
         self.progress.clear();
         self.sync_progress();
--- a/src/raft/node/vote.rs
+++ b/src/raft/node/vote.rs
@@ -2,14 +2,64 @@
 
 use crate::raft::message;
 use crate::raft::node::{Node, Role, Write};
-use crate::raft::{Id, Index, Term};
+use crate::raft::{Id, Index, Millis, Term};
+
+/// Time after the end of a leader's lease before which nobody votes for another leader: it covers
+/// the drift of the clocks.
+const LEASE_MARGIN_MS: Millis = 50;
+
+/// Time between the early elections of two members: a pre-vote, a vote and their syncs.
+const EARLY_ELECTION_STEP_MS: Millis = 40;
+
+/// Number of elections that a member starts early.
+const EARLY_ELECTIONS: u32 = 4;
 
 impl Node {
+    /// Records that the process of the leader has ended, so that an election need not wait for the
+    /// election timeout. The lease of the leader still ends before anybody votes, so a mistake is
+    /// harmless.
+    pub fn leader_ended(&mut self, now: Millis, leader: Id) {
+        self.now = now;
+        if self.role == Role::Follower && self.leader == Some(leader) && self.early_elections == 0 {
+            self.early_elections = EARLY_ELECTIONS;
+            let earliest_ms = self.leader_contact_ms + self.vote_guard_ms();
+            let early_ms = now.max(earliest_ms) + self.early_turn() * EARLY_ELECTION_STEP_MS;
+            self.election_deadline_ms = self.election_deadline_ms.min(early_ms);
+        }
+    }
+
+    /// Reports whether this member knows that the process of the last leader has ended.
+    pub fn is_leader_ended(&self) -> bool {
+        self.early_elections > 0
+    }
+
+    /// Returns the turn of this member among the voters that follow the leader, so that two of them
+    /// do not campaign at the same time.
+    fn early_turn(&self) -> Millis {
+        let before = self.members.voters.keys().take_while(|id| **id < self.id);
+        before.filter(|id| self.leader != Some(**id)).count() as Millis
+    }
+
+    /// Returns the time after the last contact with a leader for which this member votes for nobody
+    /// else.
+    fn vote_guard_ms(&self) -> Millis {
+        if self.early_elections > 0 {
+            self.timing.lease_ms() + LEASE_MARGIN_MS
+        } else {
+            self.timing.election_timeout_ms
+        }
+    }
+
     pub(super) fn tick_election(&mut self) {
         if self.now < self.election_deadline_ms {
             return;
         }
         self.reset_deadline();
+        if self.early_elections > 1 {
+            self.early_elections -= 1;
+            let turns = self.members.voters.len() as Millis;
+            self.election_deadline_ms = self.now + turns * EARLY_ELECTION_STEP_MS;
+        }
         if self.members.is_voter(self.id) && !self.log.is_blank() {
             self.start_pre_vote();
         }
@@ -22,7 +72,7 @@
             Role::Leader => self.now < self.quorum_acked_ms() + self.timing.election_timeout_ms,
             _ => {
                 self.leader_contact_ms > 0
-                    && self.now < self.leader_contact_ms + self.timing.election_timeout_ms
+                    && self.now < self.leader_contact_ms + self.vote_guard_ms()
             }
         };
         self.leader.is_some() && is_alive
--- a/tests/tests/membership/step.rs
+++ b/tests/tests/membership/step.rs
@@ -34,6 +34,8 @@
     ReplaceLeader,
     /// Transfers leadership, as at a graceful stop.
     Transfer,
+    /// Tells a machine that the process of its leader has ended, whether that is true or not.
+    LeaderEnded(u8),
     /// Starts a process with a copy of a machine's disk at a new address.
     Twin(u8),
 }
@@ -57,6 +59,7 @@
         1 => machine.clone().prop_map(Step::Replace),
         1 => Just(Step::ReplaceLeader),
         1 => Just(Step::Transfer),
+        2 => machine.clone().prop_map(Step::LeaderEnded),
         1 => machine.prop_map(Step::Twin),
     ]
 }
--- a/tests/tests/membership/world.rs
+++ b/tests/tests/membership/world.rs
@@ -235,6 +235,14 @@
                     self.with_node(leader, Node::transfer_leadership);
                 }
             }
+            Step::LeaderEnded(machine) => {
+                let now = self.now;
+                if let Some(running) = &mut self.machines[pick(machine)].running
+                    && let Some(leader) = running.node.leader()
+                {
+                    running.node.leader_ended(now, leader);
+                }
+            }
             Step::Twin(machine) => self.twin(pick(machine)),
         }
         self.check();
@@ -570,6 +578,12 @@
     }
 
     fn check(&mut self) {
+        let holds_lease = |running: &Running| running.node.has_lease();
+        let lease_holders = (0..self.machines.len()).filter(|at| {
+            let running = self.machines[*at].running.as_ref();
+            !self.is_frozen(*at) && running.is_some_and(holds_lease)
+        });
+        assert!(lease_holders.count() <= 1, "two leases at {}", self.now);
         for machine in &self.machines {
             let Some(running) = &machine.running else {
                 continue;
--- a/tests/tests/operators.rs
+++ b/tests/tests/operators.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use crossbeam::channel;
 use oriolereel::console::Console;
 use oriolereel::control::group::Group;
 use oriolereel::control::{daemon, size};
@@ -13,6 +14,7 @@
 use oriolereel::flow::message::{Action, Answer, Call, Poll, Reply, Report, Request};
 use oriolereel::flow::registry::Info;
 use oriolereel::wire::Frame;
+use oriolereel::wire::transport::{self, Transport};
 use serde_json::Value;
 
 use crate::cluster::TIMEOUT;
@@ -206,3 +208,54 @@
         "{reasons:?}"
     );
 }
+
+#[test]
+fn a_query_for_the_leader_is_held_while_there_is_none() {
+    let system = System::start();
+    let transport = Transport::start(transport::Options::default()).expect("a transport");
+    let start = Instant::now();
+    let mut refusals = 0;
+    loop {
+        let frame = Frame::Flow(Call::Members);
+        match transport.call(system.member.addr, frame, TIMEOUT) {
+            Ok(Frame::FlowReply(Reply::Members(members))) => {
+                assert_eq!(members, [system.member.addr]);
+                break;
+            }
+            Ok(Frame::Redirect { leader: None }) => refusals += 1,
+            other => panic!("{other:?}"),
+        }
+        assert!(start.elapsed() < TIMEOUT, "no leader");
+    }
+    // Without the hold, a refusal takes less than a millisecond.
+    let allowed = 2 + start.elapsed().as_millis() / 100;
+    assert!(
+        refusals <= allowed,
+        "{refusals} refusals, {allowed} allowed"
+    );
+}
+
+#[test]
+fn an_agent_that_followed_another_leader_is_answered_at_once() {
+    let system = System::start();
+    system.declare_catalog();
+    system.report();
+    let transport = Transport::start(transport::Options::default()).expect("a transport");
+    let (sender, answers) = channel::bounded(2);
+    // The first poll may be held for longer than the second, but is the first of this agent.
+    for (tag, wait_ms) in [(1, 2_000), (2, 100)] {
+        let poll = Poll {
+            instance: "side-2".to_owned(),
+            worker: Some(("w1".to_owned(), 1)),
+            seen_index: u64::MAX,
+            wait_ms,
+            known: Vec::new(),
+        };
+        let frame = Frame::Flow(Call::Poll(poll));
+        transport
+            .send(system.member.addr, frame, TIMEOUT, tag, &sender)
+            .expect("a queue with room");
+    }
+    let order: Vec<u64> = answers.iter().take(2).map(|answer| answer.tag).collect();
+    assert_eq!(order, [1, 2]);
+}
--- a/tests/tests/raft.rs
+++ b/tests/tests/raft.rs
@@ -359,6 +359,16 @@
         }
     }
 
+    /// Tells a member that the process of the leader that it follows has ended.
+    fn tell_leader_ended(&mut self, id: Id) {
+        let now = self.now;
+        if let Some(running) = self.running(id)
+            && let Some(leader) = running.node.leader()
+        {
+            running.node.leader_ended(now, leader);
+        }
+    }
+
     /// Makes the leader promote a learner that has caught up, as a control member does.
     fn promote_learner(&mut self) {
         let Some(leader) = self.leader() else { return };
@@ -589,6 +599,7 @@
             Step::Snapshot(member) => cluster.snapshot(id(member)),
             Step::Replace(member) => cluster.replace(id(member)),
             Step::Transfer(member) => cluster.with_node(id(member), Node::transfer_leadership),
+            Step::LeaderEnded(member) => cluster.tell_leader_ended(id(member)),
         }
         cluster.check();
     }
--- a/tests/tests/raft/cases.rs
+++ b/tests/tests/raft/cases.rs
@@ -138,3 +138,23 @@
         .generation;
     assert_eq!(found, expected);
 }
+
+#[test]
+fn members_that_know_that_the_leader_has_ended_wait_only_for_its_lease() {
+    for size in [3, 5, 7] {
+        let mut cluster = Cluster::new(size);
+        cluster.run_for(2_000);
+        let leader = cluster.leader().expect("a leader");
+        cluster.crash(leader, 0);
+        for id in (1..=size).filter(|id| *id != leader) {
+            cluster.tell_leader_ended(id);
+        }
+        // The lease was renewed by the last heartbeat at the latest.
+        let timing = Timing::default();
+        let lease_ms = timing.lease_ms() - timing.heartbeat_ms;
+        cluster.run_for(lease_ms);
+        assert_eq!(cluster.leader(), None, "{size}: elected within the lease");
+        cluster.run_for(timing.election_timeout_ms - lease_ms);
+        assert!(cluster.leader().is_some(), "{size}: no leader yet");
+    }
+}
--- a/tests/tests/raft/step.rs
+++ b/tests/tests/raft/step.rs
@@ -44,6 +44,8 @@
     /// Replaces a member by a new one, as after the loss of its disk.
     Replace(u8),
     Transfer(u8),
+    /// Tells a member that the process of its leader has ended, whether that is true or not.
+    LeaderEnded(u8),
 }
 
 pub fn step() -> impl Strategy<Value = Step> {
@@ -64,5 +66,6 @@
         1 => (0..5_u8).prop_map(Step::Snapshot),
         1 => (0..5_u8).prop_map(Step::Replace),
         1 => (0..5_u8).prop_map(Step::Transfer),
+        2 => (0..5_u8).prop_map(Step::LeaderEnded),
     ]
 }
