flow: times that the deployment prescribes come from its settings

Cause: no field of bounds was read. MAX_CHECKPOINT_LOSS_MS was 500 where checkpointS is 1 or 2; lease, claim, startup and gathering times fitted holdMaxMs, stopTimeoutMs, gangTimeoutMs and contactMs of the first sites by chance.

The oracle's slack after a thaw was 600 ms with stops of 200 ms; it is now 400 ms and the stop time, the same for the existing test.

--- a/examples/commit.rs
+++ b/examples/commit.rs
@@ -58,6 +58,7 @@
             name: format!("control-{id}"),
             place: oriolereel::control::size::Place::default(),
             goal: None,
+            bounds: oriolereel::flow::bounds::Bounds::default(),
             max_aside_bytes: daemon::MAX_ASIDE_BYTES,
             listen: *addr,
             http: dev::loopback(0),
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -11,6 +11,7 @@
 use crate::clock;
 use crate::control::{admin, disk, enrol, group, leader, member, size};
 use crate::error;
+use crate::flow::bounds::Bounds;
 use crate::raft::Id;
 use crate::raft::members;
 use crate::serve;
@@ -55,6 +56,8 @@
     /// What the group must bear; `None` if operators add and remove members by hand. With a goal, a
     /// member that the group has replaced rejoins under a new identity.
     pub goal: Option<size::Goal>,
+    /// Times of workers and guarantees, for jobs of several steps.
+    pub bounds: Bounds,
     pub operator_token: String,
     pub retention: Duration,
     /// Delay added to messages, for measurements.
@@ -192,6 +195,7 @@
             place: options.place.clone(),
             addr,
             goal: options.goal,
+            bounds: options.bounds,
             leader: leader::Options {
                 retention_ms: options.retention.as_millis() as u64,
                 seed: rand::random(),
--- a/src/control/flow.rs
+++ b/src/control/flow.rs
@@ -49,9 +49,9 @@
 impl Coordinator {
     /// Creates a coordinator from the replicated state; the fencing token must rise with each
     /// leadership.
-    pub fn new(registry: &Registry, token: u64) -> Self {
+    pub fn new(registry: &Registry, token: u64, options: planner::Options) -> Self {
         Self {
-            planner: Planner::new(registry, clock::mono_ms(), planner::Options::default()),
+            planner: Planner::new(registry, clock::mono_ms(), options),
             token,
             pending_polls: Vec::new(),
             pending_replies: Vec::new(),
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -22,6 +22,7 @@
 use crate::control::size;
 use crate::control::watch;
 use crate::error;
+use crate::flow::bounds::Bounds;
 use crate::flow::message;
 use crate::flow::planner::Planner;
 use crate::ledger;
@@ -57,6 +58,7 @@
     pub addr: SocketAddr,
     /// What the group must bear; `None` if operators add and remove members by hand.
     pub goal: Option<size::Goal>,
+    pub bounds: Bounds,
     pub leader: leader::Options,
 }
 
@@ -376,7 +378,11 @@
             log::info!(term = self.node.term(); "became leader");
             let now = clock::wall_ms();
             self.leader = Some(leader::Leader::new(&self.ledger, now, self.options.leader));
-            let mut coordinator = Coordinator::new(self.ledger.flow(), self.node.term());
+            let mut coordinator = Coordinator::new(
+                self.ledger.flow(),
+                self.node.term(),
+                self.options.bounds.into(),
+            );
             coordinator.set_members(self.addresses());
             self.coordinator = Some(coordinator);
         }
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -23,6 +23,7 @@
 use crate::control;
 use crate::entry;
 use crate::error;
+use crate::flow;
 
 /// Result of starting a system.
 pub type Result<T> = error::Result<T>;
@@ -281,6 +282,7 @@
             data,
             max_aside_bytes: control::daemon::MAX_ASIDE_BYTES,
             goal: None,
+            bounds: flow::bounds::Bounds::default(),
             operator_token: OPERATOR_TOKEN.to_owned(),
             retention: Duration::from_secs(86_400),
             delay: Duration::ZERO,
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -5,6 +5,7 @@
 //! thread; callers pass the time in.
 
 pub mod agent;
+pub mod bounds;
 pub mod catalog;
 pub mod command;
 pub mod explain;
--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -28,9 +28,6 @@
 /// Maximum time that the leader holds a poll for orders.
 pub const POLL_WAIT_MS: Millis = 500;
 
-/// Maximum time that the worker holds a list call until a run ends.
-pub const LIST_WAIT_MS: Millis = 1_000;
-
 /// Time after the last listing from which on the worker counts as unresponsive.
 const RESPONSE_TIMEOUT_MS: Millis = 2_500;
 
--- a/src/flow/agent/lease.rs
+++ b/src/flow/agent/lease.rs
@@ -33,7 +33,7 @@
 
     /// Reports whether the leader may have declared the worker lost and started its runs elsewhere.
     pub(super) fn may_be_declared_lost(&self, now: Millis) -> bool {
-        let term_ms = self.options.grant_ms + self.options.lease_ms;
+        let term_ms = self.options.grant_ms + self.options.bounds.lease_ms();
         self.last_grant_ms > 0 && now > self.last_grant_ms + term_ms
     }
 
@@ -67,7 +67,7 @@
     /// Returns the latest possible end of a lease that started up to now, on the worker's clock.
     pub(super) fn max_lease_end_ms(&self, now: Millis) -> Option<Millis> {
         let (clock_ms, read_ms) = self.worker_clock?;
-        Some(clock_ms + now.saturating_sub(read_ms) + self.options.lease_ms)
+        Some(clock_ms + now.saturating_sub(read_ms) + self.options.bounds.lease_ms())
     }
 
     /// Sets whether the leader has fenced the worker. The lease of a fenced worker is not extended,
@@ -90,7 +90,7 @@
 
     /// Records that a lease extension is sent to the worker now.
     pub(super) fn record_lease(&mut self, now: Millis) {
-        let lease_ms = self.options.lease_ms;
+        let lease_ms = self.options.bounds.lease_ms();
         let end_ms = now + lease_ms + lease_ms * LEASE_DRIFT_PERCENT / 100;
         self.lease_end_ms = self.lease_end_ms.max(end_ms);
     }
--- a/src/flow/planner.rs
+++ b/src/flow/planner.rs
@@ -10,6 +10,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::flow::bounds::Bounds;
 use crate::flow::catalog::{Catalog, Route};
 use crate::flow::command::{Accepted, Command};
 use crate::flow::message::{Action, Answer, Ended, Report};
@@ -28,17 +29,10 @@
 /// lost worker's runs on other workers.
 pub const GRANT_MS: Millis = 6_000;
 
-/// Term of the leases on a worker. It outlasts a restart of the agent.
-pub const LEASE_MS: Millis = 4_000;
-
 /// Margin added to grant and lease before the runs of a lost worker may start elsewhere. With 2 % of
 /// both times, it covers the drift of both clocks and the delay of a message.
 const LOST_MARGIN_MS: Millis = 700;
 
-/// Time that a new leader allows the agents to find it. Nothing is placed before all workers have
-/// reported or this time is over.
-const GATHER_TIMEOUT_MS: Millis = 700;
-
 /// Time without a first report from any worker after which the others are taken to be away, if most
 /// have reported.
 const GATHER_PAUSE_MS: Millis = 120;
@@ -47,14 +41,23 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
     pub grant_ms: Millis,
-    pub lease_ms: Millis,
+    pub bounds: Bounds,
+}
+
+impl From<Bounds> for Options {
+    fn from(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            ..Self::default()
+        }
+    }
 }
 
 impl Default for Options {
     fn default() -> Self {
         Self {
             grant_ms: GRANT_MS,
-            lease_ms: LEASE_MS,
+            bounds: Bounds::default(),
         }
     }
 }
@@ -155,7 +158,7 @@
 
     /// Returns the time after which nothing can run under a grant that is renewed now.
     fn grant_end_ms(&self) -> Millis {
-        let term_ms = self.options.grant_ms + self.options.lease_ms;
+        let term_ms = self.options.grant_ms + self.options.bounds.lease_ms();
         self.now + term_ms + term_ms / 50 + LOST_MARGIN_MS
     }
 
@@ -434,7 +437,7 @@
             self.gathered * 2 > workers && self.now >= self.gathered_ms + GATHER_PAUSE_MS;
         if self.gathered >= workers
             || are_others_away
-            || self.now >= self.gather_start_ms + GATHER_TIMEOUT_MS
+            || self.now >= self.gather_start_ms + self.options.bounds.gather_timeout_ms()
         {
             log::info!(workers = workers, reported = self.gathered;
                 "workers gathered after {} ms", self.now - self.gather_start_ms);
--- a/src/flow/planner/pass.rs
+++ b/src/flow/planner/pass.rs
@@ -11,27 +11,12 @@
 use crate::flow::{JobId, Millis, UnitId, WorkerKey};
 use crate::map;
 
-/// Time after which a unit may be placed where it runs slower, instead of waiting longer.
-const IDEAL_SCOPE_WAIT_MS: Millis = 2_000;
-
-/// The same time for the most urgent units.
-const URGENT_IDEAL_SCOPE_WAIT_MS: Millis = 600;
-
-/// Time in which preempted runs must end. After that the claim on their capacity is dropped.
-const CLAIM_TIMEOUT_MS: Millis = 2_500;
-
 /// Time for which a unit waits for other workers before it is placed again where it has failed.
 const FAILED_WORKER_WAIT_MS: Millis = 4_000;
 
 /// Maximum number of units that hold a reservation at a time.
 const MAX_RESERVATIONS: usize = 2;
 
-/// Fixed cost of stopping a run, as milliseconds of lost work.
-const STOP_COST_MS: Millis = 500;
-
-/// Maximum work that is lost when a run with checkpoints is stopped, in milliseconds.
-const MAX_CHECKPOINT_LOSS_MS: Millis = 500;
-
 /// Factor on the cost of stopping runs of the most urgent priority. It halves with each lower
 /// priority.
 const URGENCY_COST_FACTOR: u64 = 16;
@@ -232,11 +217,7 @@
 
     /// Returns the scopes that a unit may use after the time that it has waited, the best first.
     fn scopes(&self, unit: &Unit, priority: u32) -> &'static [Scope] {
-        let ideal_wait_ms = if priority == 0 {
-            URGENT_IDEAL_SCOPE_WAIT_MS
-        } else {
-            IDEAL_SCOPE_WAIT_MS
-        };
+        let ideal_wait_ms = self.options.bounds.ideal_wait_ms(priority == 0);
         if self.wall_now.saturating_sub(unit.ready_ms) >= ideal_wait_ms {
             &[Scope::Ideal, Scope::Anywhere]
         } else {
@@ -274,7 +255,7 @@
         for unit in stopped {
             self.stop(unit, Cause::Reclaimed { job, step });
         }
-        let expires_ms = self.now + CLAIM_TIMEOUT_MS;
+        let expires_ms = self.now + self.options.bounds.claim_timeout_ms();
         self.claims.insert(
             id,
             Claim {
@@ -352,6 +333,7 @@
     /// Returns the runs that may be preempted for a unit with the given guarantee and priority. Runs
     /// that are being stopped already are included at almost no cost.
     fn victims(&self, context: &Context, is_guaranteed: bool, priority: u32) -> Vec<Victim> {
+        let bounds = self.options.bounds;
         let mut victims = Vec::new();
         for id in self.projected.active() {
             let (Some((job, step)), Some(unit)) =
@@ -376,7 +358,7 @@
                 .collect();
             let ran_ms = self.wall_now.saturating_sub(running.placed_ms);
             let lost_ms = if step.checkpoints {
-                ran_ms.min(MAX_CHECKPOINT_LOSS_MS)
+                ran_ms.min(bounds.checkpoint_ms)
             } else {
                 ran_ms
             };
@@ -387,7 +369,7 @@
             let cost = if is_stopping {
                 1
             } else {
-                (lost_ms + STOP_COST_MS) * cores * factor
+                (lost_ms + bounds.stop_cost_ms(step.checkpoints)) * cores * factor
             };
             victims.push(Victim {
                 unit: id,
--- a/src/flow/planner/watch.rs
+++ b/src/flow/planner/watch.rs
@@ -9,9 +9,6 @@
 /// cent: a run of ten minutes advances only every six seconds, so long runs are not watched.
 const STALL_TIMEOUT_MS: Millis = 2_500;
 
-/// The same limit before the first progress. The members of a gang may wait that long for each other.
-const STARTUP_STALL_TIMEOUT_MS: Millis = 4_500;
-
 /// Estimated duration from which on a run is not watched for progress and never counts as stalled.
 const MAX_WATCHED_ESTIMATE_MS: Millis = 120_000;
 
@@ -146,7 +143,7 @@
             observation.responsive && self.now < observation.last_contact_ms + MAX_REPORT_AGE_MS;
         let has_stalled = |progress: &Progress| {
             let limit_ms = if progress.percent == 0 {
-                STARTUP_STALL_TIMEOUT_MS
+                self.options.bounds.startup_timeout_ms()
             } else {
                 STALL_TIMEOUT_MS
             };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,7 @@
 use crate::agent::answers;
 use crate::control::{self, size};
 use crate::entry;
+use crate::flow;
 
 /// Minimum length of an operator token, in bytes.
 const MIN_TOKEN_BYTES: usize = 8;
@@ -150,6 +151,7 @@
             data: self.data.clone(),
             max_aside_bytes: control::daemon::MAX_ASIDE_BYTES,
             goal: self.tolerate.map(goal),
+            bounds: flow::bounds::Bounds::default(),
             operator_token: self.operator_token.clone(),
             retention: Duration::from_secs(self.retention_s),
             delay: Duration::from_millis(self.common.delay_ms),
--- a/tests/tests/flow.rs
+++ b/tests/tests/flow.rs
@@ -16,13 +16,22 @@
 #[path = "flow/world.rs"]
 mod world;
 
+use oriolereel::flow::bounds::Bounds;
 use proptest::prelude::*;
 
 use crate::support;
 
 /// Performs actions in a new world, and returns the violations that the oracle has found.
 fn run(workers: usize, seed: u64, actions: &[action::Action]) -> Vec<String> {
-    let mut world = world::World::new(workers, seed);
+    let bounds = Bounds {
+        stop_ms: 200,
+        ..Bounds::default()
+    };
+    run_with(bounds, workers, seed, actions)
+}
+
+fn run_with(bounds: Bounds, workers: usize, seed: u64, actions: &[action::Action]) -> Vec<String> {
+    let mut world = world::World::new(workers, seed, bounds);
     for _step in 0..40 {
         world.step();
     }
@@ -49,6 +58,70 @@
     }
 }
 
+struct Case {
+    name: &'static str,
+    bounds: Bounds,
+}
+
+/// Deployments that prescribe other times than the usual ones.
+fn deployments() -> [Case; 5] {
+    let bounds = Bounds::default();
+    [
+        Case {
+            name: "short leases",
+            bounds: Bounds {
+                max_lease_ms: 1_500,
+                ..bounds
+            },
+        },
+        Case {
+            name: "slow stops",
+            bounds: Bounds {
+                stop_ms: 1_500,
+                reclaim_ms: 4_000,
+                ..bounds
+            },
+        },
+        Case {
+            name: "long checkpoints and restores",
+            bounds: Bounds {
+                checkpoint_ms: 5_000,
+                restore_ms: 2_000,
+                ..bounds
+            },
+        },
+        Case {
+            name: "a tight reclaim",
+            bounds: Bounds {
+                stop_ms: 100,
+                reclaim_ms: 1_000,
+                contact_ms: 1_500,
+                ..bounds
+            },
+        },
+        Case {
+            name: "far racks and gangs that wait for long",
+            bounds: Bounds {
+                remote_percent: 1_000,
+                gang_wait_ms: 8_000,
+                ..bounds
+            },
+        },
+    ]
+}
+
+proptest! {
+    #![proptest_config(support::proptest_config(12))]
+
+    #[test]
+    fn the_promises_hold_with_other_bounds(seed in any::<u64>(), actions in action::actions()) {
+        for case in deployments() {
+            let violations = run_with(case.bounds, 4, seed, &actions);
+            prop_assert!(violations.is_empty(), "{}: {violations:#?}", case.name);
+        }
+    }
+}
+
 #[test]
 fn results_of_a_worker_declared_lost_while_suspended_do_not_count_when_it_returns() {
     // Single tasks that end as done or failed while their worker is suspended, and are placed again.
--- a/tests/tests/flow/oracle.rs
+++ b/tests/tests/flow/oracle.rs
@@ -12,8 +12,8 @@
 /// Time after the last failure in which all jobs must have ended.
 const SETTLE_TIMEOUT_MS: u64 = 120_000;
 
-/// Time after a suspension in which a machine may still run what was restarted on others.
-const RESUME_SLACK_MS: u64 = 600;
+/// Time after a suspension in which an agent must have ordered to stop what was restarted on others.
+const RESUME_SLACK_MS: u64 = 400;
 
 impl World {
     /// Returns the gang or single task for which failed attempts are counted.
@@ -74,8 +74,9 @@
         let mut violations = Vec::new();
         for (machine, worker) in self.workers.iter().enumerate() {
             // A resumed machine continues for a moment before its agent sees that its grant has
-            // expired.
-            let resumed_ms = self.agents[machine].suspended_until_ms + RESUME_SLACK_MS;
+            // expired, and while the worker stops its runs.
+            let slack_ms = RESUME_SLACK_MS + self.bounds.stop_ms;
+            let resumed_ms = self.agents[machine].suspended_until_ms + slack_ms;
             let is_resuming = self.now <= resumed_ms;
             let mut used = Amount::default();
             for execution in &worker.executions {
--- a/tests/tests/flow/worker.rs
+++ b/tests/tests/flow/worker.rs
@@ -69,9 +69,8 @@
         self.executions.is_empty()
     }
 
-    pub fn extend_lease(&mut self, expires_ms: u64) {
-        const MAX_LEASE_MS: u64 = 6_000;
-        let until_ms = expires_ms.min(self.clock_ms + MAX_LEASE_MS);
+    pub fn extend_lease(&mut self, expires_ms: u64, max_lease_ms: u64) {
+        let until_ms = expires_ms.min(self.clock_ms + max_lease_ms);
         self.lease_end_ms = self.lease_end_ms.max(until_ms);
     }
 
--- a/tests/tests/flow/world.rs
+++ b/tests/tests/flow/world.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use oriolereel::flow::agent::{Core, Effect, List, Listing, Outcome, Start, Stop};
+use oriolereel::flow::bounds::Bounds;
 use oriolereel::flow::catalog::{Account, Catalog, Queue};
 use oriolereel::flow::job::{Amount, Spec, Step};
 use oriolereel::flow::message::{Action as CallerAction, Answer, Ended, Orders, Report};
@@ -17,9 +18,6 @@
 /// Virtual time of one step of the simulation.
 pub const STEP_MS: u64 = 50;
 
-/// Time that a worker takes to stop a run.
-const STOP_MS: u64 = 200;
-
 /// Number of failed runs of a unit after which the job fails.
 pub const MAX_ATTEMPTS: u32 = 3;
 
@@ -77,12 +75,14 @@
     pub failing_jobs: BTreeSet<JobId>,
     /// Violations of invariants that the oracle has found.
     pub violations: Vec<String>,
+    pub bounds: Bounds,
 }
 
 impl World {
-    pub fn new(workers: usize, seed: u64) -> Self {
+    /// Creates a world whose workers, planner and agents keep these bounds.
+    pub fn new(workers: usize, seed: u64, bounds: Bounds) -> Self {
         let registry = Registry::default();
-        let planner = Planner::new(&registry, 0, Options::default());
+        let planner = Planner::new(&registry, 0, Options::from(bounds));
         let mut world = Self {
             now: 10_000,
             registry,
@@ -100,10 +100,11 @@
             failed: BTreeMap::new(),
             failing_jobs: BTreeSet::new(),
             violations: Vec::new(),
+            bounds,
         };
         for machine in 0..workers {
             world.workers.push(Worker::new(machine, 1));
-            world.agents.push(Agent::new(machine, 0));
+            world.agents.push(Agent::new(machine, 0, bounds));
         }
         let queue = |name: &str, priority| Queue {
             name: name.to_owned(),
@@ -202,7 +203,7 @@
                     // No process ends or starts on a suspended machine.
                     return;
                 }
-                let mut agent = Agent::new(machine, self.now);
+                let mut agent = Agent::new(machine, self.now, self.bounds);
                 agent.down_until_ms = self.now + 500 + self.random_below(1_500);
                 agent.partitioned_until_ms = self.agents[machine].partitioned_until_ms;
                 self.agents[machine] = agent;
@@ -231,7 +232,7 @@
             Action::NewLeader => {
                 self.token += 1;
                 self.proposed.clear();
-                self.planner = Planner::new(&self.registry, self.now, Options::default());
+                self.planner = Planner::new(&self.registry, self.now, Options::from(self.bounds));
                 self.resubmit();
             }
             Action::DrainWorker(pick) => {
@@ -395,13 +396,14 @@
     }
 
     fn list(&mut self, machine: usize, list: &List) -> Option<Listing> {
+        let max_lease_ms = self.bounds.max_lease_ms;
         let worker = &mut self.workers[machine];
         if list.worker != worker.name || list.token < worker.token {
             return None;
         }
         worker.token = list.token;
         if let Some(expires_ms) = list.expires_ms {
-            worker.extend_lease(expires_ms);
+            worker.extend_lease(expires_ms, max_lease_ms);
         }
         let acknowledged: Vec<Ended> = worker
             .ended
@@ -468,6 +470,7 @@
     fn start(&mut self, machine: usize, start: &Start) -> Outcome {
         let work_ms = 1_000 + self.random_below(6_000);
         let fails = self.failing_jobs.contains(&start.run.task.job);
+        let max_lease_ms = self.bounds.max_lease_ms;
         let worker = &mut self.workers[machine];
         if start.worker != worker.name {
             return Outcome::WrongWorker;
@@ -494,7 +497,7 @@
         if start.expires_ms <= worker.clock_ms {
             return Outcome::Expired;
         }
-        worker.extend_lease(start.expires_ms);
+        worker.extend_lease(start.expires_ms, max_lease_ms);
         worker.executions.push(Execution {
             run: start.run,
             remaining_ms: work_ms,
@@ -507,7 +510,7 @@
     }
 
     fn stop(&mut self, machine: usize, stop: &Stop) -> bool {
-        let now = self.now;
+        let (now, stop_ms) = (self.now, self.bounds.stop_ms);
         let worker = &mut self.workers[machine];
         if stop.worker != worker.name || stop.token < worker.token {
             return false;
@@ -517,7 +520,7 @@
         *last_finished = (*last_finished).max(stop.run.number);
         let executions = worker.executions.iter_mut();
         for execution in executions.filter(|execution| execution.run == stop.run) {
-            execution.stops_at_ms.get_or_insert(now + STOP_MS);
+            execution.stops_at_ms.get_or_insert(now + stop_ms);
         }
         true
     }
@@ -561,9 +564,9 @@
 }
 
 impl Agent {
-    fn new(machine: usize, now: u64) -> Self {
+    fn new(machine: usize, now: u64, bounds: Bounds) -> Self {
         Self {
-            core: Core::new(format!("i{machine}"), Options::default()),
+            core: Core::new(format!("i{machine}"), Options::from(bounds)),
             partitioned_until_ms: 0,
             down_until_ms: now,
             suspended_until_ms: 0,
--- a/tests/tests/operators.rs
+++ b/tests/tests/operators.rs
@@ -41,6 +41,7 @@
             name: "control-1".to_owned(),
             place: size::Place::default(),
             goal: None,
+            bounds: oriolereel::flow::bounds::Bounds::default(),
             max_aside_bytes: daemon::MAX_ASIDE_BYTES,
             listen: reservation.addr(),
             http: dev::loopback(0),
