flow: estimated ends are gathered once a pass, and no reservation is sought that cannot be had

Change: the ends are kept for the pass until a run is placed; a unit that would not fit if all its workers were empty seeks no reservation. Reservations are a module of their own.

--- a/src/flow/planner.rs
+++ b/src/flow/planner.rs
@@ -5,6 +5,7 @@
 //! on a decision before it is committed.
 
 mod pass;
+mod reserve;
 mod search;
 mod wait_reasons;
 mod watch;
--- a/src/flow/planner/pass.rs
+++ b/src/flow/planner/pass.rs
@@ -7,15 +7,13 @@
 use crate::flow::command::Command;
 use crate::flow::job::{Amount, Step};
 use crate::flow::place::{self, Request, Scope, Victim, Victims};
+use crate::flow::planner::reserve::RunEnd;
 use crate::flow::planner::search::Search;
 use crate::flow::planner::{CONTACT_TIMEOUT_MS, Claim, Planner};
 use crate::flow::registry::{Cause, Registry, State, Unit};
 use crate::flow::{JobId, Millis, UnitId, WorkerKey};
 use crate::map;
 
-/// Maximum number of units that hold a reservation at a time.
-const MAX_RESERVATIONS: usize = 2;
-
 /// Factor on the cost of stopping runs of the most urgent priority. It halves with each lower
 /// priority.
 const URGENCY_COST_FACTOR: u64 = 16;
@@ -47,7 +45,9 @@
     pub(super) claimed: BTreeMap<WorkerKey, Amount>,
     /// Reserved workers, and the time from which on they are reserved.
     pub(super) reserved: BTreeMap<WorkerKey, Millis>,
-    reservations: usize,
+    pub(super) reservations: usize,
+    /// Estimated ends of all runs, until another run is placed.
+    pub(super) ends: Option<Rc<Vec<RunEnd>>>,
 }
 
 impl Planner {
@@ -65,6 +65,7 @@
             claimed: BTreeMap::new(),
             reserved: BTreeMap::new(),
             reservations: 0,
+            ends: None,
         };
         for (unit, claim) in &self.claims {
             let Some((_job, step)) = self.projected.step(*unit) else {
@@ -151,6 +152,7 @@
             Some((workers, stopped)) if stopped.is_empty() => {
                 self.place(id, &unit, workers);
                 context.victims.clear();
+                context.ends = None;
                 true
             }
             Some((workers, stopped)) => {
@@ -373,67 +375,6 @@
         }
         victims
     }
-
-    /// Reserves workers for a unit that does not fit yet, from the estimated time at which it will.
-    fn reserve(&self, context: &mut Context, id: UnitId, step: &Step, tasks: u32, service: &str) {
-        if context.reservations >= MAX_RESERVATIONS {
-            return;
-        }
-        let mut free: BTreeMap<WorkerKey, Amount> = BTreeMap::new();
-        let mut ends: Vec<(Millis, WorkerKey, Amount)> = Vec::new();
-        for (key, worker) in self.projected.workers() {
-            let label = step.label.as_ref();
-            let has_label = label.is_none_or(|label| worker.info.labels.contains(label));
-            if worker.info.service == service && has_label && self.is_usable(key) {
-                free.insert(key, worker.info.total.minus(&worker.used));
-            }
-        }
-        for unit in self.projected.active() {
-            let (Some((_job, other)), Some(state)) =
-                (self.projected.step(unit), self.projected.unit(unit))
-            else {
-                continue;
-            };
-            let Some(running) = &state.running else {
-                continue;
-            };
-            let end_ms = (running.placed_ms + other.estimate_ms).max(self.wall_now + 1);
-            for member in running.members.iter().filter(|member| member.end.is_none()) {
-                ends.push((end_ms, member.worker, other.per_task));
-            }
-        }
-        ends.sort_unstable_by_key(|(end_ms, key, _amount)| (*end_ms, *key));
-        let capacity = |free: &Amount| free.count_fitting(&step.per_task, u64::from(tasks));
-        let mut total: u64 = free.values().map(capacity).sum();
-        for (end_ms, key, amount) in ends {
-            let Some(worker_free) = free.get_mut(&key) else {
-                continue;
-            };
-            total -= capacity(worker_free);
-            *worker_free = worker_free.plus(&amount);
-            total += capacity(worker_free);
-            if total < u64::from(tasks) {
-                continue;
-            }
-            // Reserves the workers with the largest capacity. Others may still get long runs.
-            let mut largest: Vec<(u64, WorkerKey)> = free
-                .iter()
-                .map(|(key, free)| (capacity(free), *key))
-                .collect();
-            largest.sort_unstable_by(|a, b| b.cmp(a));
-            let mut remaining = u64::from(tasks);
-            for (count, key) in largest {
-                if remaining == 0 {
-                    break;
-                }
-                remaining = remaining.saturating_sub(count);
-                context.reserved.entry(key).or_insert(end_ms);
-            }
-            context.reservations += 1;
-            log::debug!(job:% = format_args!("{:016x}", id.job), step = id.step; "workers reserved from {end_ms} on");
-            return;
-        }
-    }
 }
 
 /// Sums the amounts that a unit holds on each worker.
