uplink: the number of a start is random

Cause: by reading, after three members had shared an identity: the incarnation of entries and agents and the first key that an entry gives to requests without one were the wall clock in nanoseconds. An agent that restarts with a clock that was set back can have the incarnation that it had, and take grants of its earlier life for its own.

Change: both are drawn at random; they are only compared for equality. Test: uplink.

--- a/examples/load.rs
+++ b/examples/load.rs
@@ -263,7 +263,7 @@
 
 /// Returns a number that makes the idempotency keys of each phase unique.
 fn phase_id() -> u64 {
-    oriolereel::clock::incarnation()
+    oriolereel::uplink::incarnation()
 }
 
 fn quantiles(latency: &Histogram<u64>) -> serde_json::Value {
--- a/examples/spread.rs
+++ b/examples/spread.rs
@@ -12,7 +12,7 @@
 use oriolereel::control::group;
 use oriolereel::wire::frame;
 use oriolereel::wire::transport::{Options, Transport};
-use oriolereel::{clock, config, dev, telemetry, uplink};
+use oriolereel::{config, dev, telemetry, uplink};
 use serde_json::json;
 
 /// Number of changes for each number of receivers.
@@ -57,7 +57,7 @@
                     role: frame::Role::Entry,
                     region: "here".to_owned(),
                     addr: dev::loopback(1),
-                    incarnation: clock::incarnation(),
+                    incarnation: uplink::incarnation(),
                     generation: 0,
                 },
                 cache: Arc::clone(&cache),
--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -88,7 +88,7 @@
             role: frame::Role::Agent,
             region: options.region.clone(),
             addr,
-            incarnation: clock::incarnation(),
+            incarnation: uplink::incarnation(),
             generation: 0,
         },
         cache,
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -30,11 +30,3 @@
     let nanos = u64::try_from(time.tv_nsec).unwrap_or(0);
     seconds * 1_000 + nanos / 1_000_000
 }
-
-/// Returns a number that differs at each start of a process: the wall-clock time in nanoseconds.
-pub fn incarnation() -> u64 {
-    let elapsed = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(elapsed.as_nanos()).unwrap_or(u64::MAX)
-}
--- a/src/command/dev.rs
+++ b/src/command/dev.rs
@@ -79,7 +79,7 @@
     /// # Errors
     /// When the folder cannot be created.
     pub fn new(name: &str) -> std::io::Result<Self> {
-        let unique = crate::clock::incarnation();
+        let unique = crate::uplink::incarnation();
         let path = std::env::temp_dir().join(format!("oriolereel-{name}-{unique:x}"));
         std::fs::create_dir_all(&path)?;
         Ok(Self(path))
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -81,7 +81,7 @@
         permits: limit::Permits::new(options.max_in_flight, per_account),
         rate_limiter: Mutex::default(),
         gate: Arc::clone(&gate),
-        next_key: AtomicU64::new(clock::incarnation()),
+        next_key: AtomicU64::new(uplink::incarnation()),
     });
     let threads = options.max_in_flight + SPARE_THREADS;
     let http = serve::start(options.http, threads, Arc::clone(&gate), service)?;
@@ -91,7 +91,7 @@
             role: frame::Role::Entry,
             region: options.region.clone(),
             addr: http,
-            incarnation: clock::incarnation(),
+            incarnation: uplink::incarnation(),
             generation: 0,
         },
         cache,
--- a/src/uplink.rs
+++ b/src/uplink.rs
@@ -97,6 +97,12 @@
     }
 }
 
+/// Draws the number of one start of a process. It is random, since a clock that was set back or is
+/// coarse can give two starts the same number.
+pub fn incarnation() -> u64 {
+    rand::random()
+}
+
 /// Identity of a process, with the cache that holds its configuration generation.
 #[derive(Clone, Debug)]
 pub struct Identity {
--- a/tests/tests/uplink.rs
+++ b/tests/tests/uplink.rs
@@ -82,3 +82,11 @@
         "the process has the configuration but still refuses its callers"
     );
 }
+
+#[test]
+fn starts_at_one_instant_have_incarnations_of_their_own() {
+    let starts: std::collections::BTreeSet<u64> = (0..1_000)
+        .map(|_start| oriolereel::uplink::incarnation())
+        .collect();
+    assert_eq!(starts.len(), 1_000);
+}
