--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -4,6 +4,7 @@
 mod admin;
 mod flow;
 mod group;
+mod poll;
 mod search;
 mod snapshot;
 
@@ -47,9 +48,6 @@
 /// Time allowed for sending a message to another member.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Longest time for which a caller's poll is held open.
-const MAX_POLL_MS: u64 = 20_000;
-
 /// Settings of a member.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -62,14 +60,6 @@
     pub leader: leader::Options,
 }
 
-/// A caller's poll that waits for a job's next stage.
-#[derive(Debug)]
-struct JobPoll {
-    seen: u32,
-    until_ms: u64,
-    reply: call::Reply,
-}
-
 /// A control member.
 #[derive(Debug)]
 pub struct Member {
@@ -89,7 +79,7 @@
     snapshot: Option<store::Snapshot>,
     is_saving_snapshot: bool,
     watchers: watch::Watchers,
-    job_polls: BTreeMap<JobId, Vec<JobPoll>>,
+    job_polls: BTreeMap<JobId, Vec<poll::Poll>>,
     /// Queries for the leader that wait until there is one.
     queries: Vec<search::Query>,
     probe: probe::Probe,
@@ -281,7 +271,7 @@
                 self.poll_job(&account, job, seen, wait_ms, reply);
             }
             Frame::Cancel { account, job } => match leader.cancel(&self.ledger, &account, job) {
-                Ok(()) => self.poll_job(&account, job, u32::MAX - 1, MAX_POLL_MS / 4, reply),
+                Ok(()) => self.poll_job(&account, job, u32::MAX - 1, poll::MAX_POLL_MS / 4, reply),
                 Err(err) => reply.fail(err),
             },
             Frame::Decisions { account, job } => {
@@ -311,28 +301,6 @@
         }
     }
 
-    fn poll_job(&mut self, account: &str, job: JobId, seen: u32, wait_ms: u64, reply: call::Reply) {
-        let found = self
-            .ledger
-            .job(job)
-            .filter(|job| job.request.account == account);
-        let Some(found) = found else {
-            reply.fail(leader::unknown_request());
-            return;
-        };
-        let view = leader::view(&self.ledger, found, true);
-        if view.stage.progress(found.attempts) > seen || wait_ms == 0 {
-            reply.send(Frame::View(view));
-            return;
-        }
-        let until_ms = clock::mono_ms() + wait_ms.min(MAX_POLL_MS);
-        self.job_polls.entry(job).or_default().push(JobPoll {
-            seen,
-            until_ms,
-            reply,
-        });
-    }
-
     /// Proposes the leader's decisions to the log.
     fn decide(&mut self) {
         let Some(leader) = &mut self.leader else {
@@ -547,52 +515,6 @@
         }
     }
 
-    fn answer_job_polls(&mut self, id: JobId) {
-        let Some(polls) = self.job_polls.remove(&id) else {
-            return;
-        };
-        let Some(job) = self.ledger.job(id) else {
-            return;
-        };
-        let mut open = Vec::new();
-        for poll in polls {
-            let view = leader::view(&self.ledger, job, true);
-            if view.stage.progress(job.attempts) > poll.seen {
-                poll.reply.send(Frame::View(view));
-            } else {
-                open.push(poll);
-            }
-        }
-        if !open.is_empty() {
-            self.job_polls.insert(id, open);
-        }
-    }
-
-    /// Answers timed-out polls with the current state of the job, or with an error if the job is no
-    /// longer stored.
-    fn answer_expired_job_polls(&mut self) {
-        let now = clock::mono_ms();
-        for (id, polls) in std::mem::take(&mut self.job_polls) {
-            let mut open = Vec::new();
-            for poll in polls {
-                if poll.reply.is_closed() {
-                    continue;
-                }
-                match self.ledger.job(id) {
-                    Some(job) if now >= poll.until_ms => {
-                        let view = leader::view(&self.ledger, job, true);
-                        poll.reply.send(Frame::View(view));
-                    }
-                    Some(_job) => open.push(poll),
-                    None => poll.reply.fail(leader::unknown_request()),
-                }
-            }
-            if !open.is_empty() {
-                self.job_polls.insert(id, open);
-            }
-        }
-    }
-
     fn answer_watchers(&mut self) {
         let now = clock::mono_ms();
         let (leader_ms, at_ms) = self.leader_clock;
--- a/tests/tests/membership.rs
+++ b/tests/tests/membership.rs
@@ -1,6 +1,8 @@
 //! The control group under faults in virtual time: consensus, store and the decisions on membership
 //! together, on machines whose disks, links and clocks fail.
 
+#[path = "membership/check.rs"]
+mod check;
 #[path = "membership/step.rs"]
 mod step;
 #[path = "membership/world.rs"]
--- a/tests/tests/membership/world.rs
+++ b/tests/tests/membership/world.rs
@@ -8,8 +8,8 @@
 use oriolereel::control::size::{self, Goal, Group, Losses, Newcomer, Place};
 use oriolereel::dev;
 use oriolereel::raft::members::Members;
-use oriolereel::raft::message::{Entry, Message, Payload};
-use oriolereel::raft::node::{Effects, Node, Role, Start, Timing, Write};
+use oriolereel::raft::message::{Entry, Message};
+use oriolereel::raft::node::{Effects, Node, Start, Timing, Write};
 use oriolereel::raft::{Id, Index, Term};
 use oriolereel::store::{self, Identity, Store, identity};
 
@@ -34,9 +34,9 @@
 /// Number of founding members.
 const FOUNDERS: usize = 3;
 
-struct Running {
-    id: Id,
-    node: Node,
+pub struct Running {
+    pub id: Id,
+    pub node: Node,
     store: Store<Disk>,
     requests: Requests,
     places: BTreeMap<Id, Place>,
@@ -44,10 +44,10 @@
     proposed: BTreeMap<Index, (Term, Bytes)>,
 }
 
-struct Machine {
-    addr: SocketAddr,
+pub struct Machine {
+    pub addr: SocketAddr,
     disk: Disk,
-    running: Option<Running>,
+    pub running: Option<Running>,
     /// Time at which a process that is down starts again.
     starts_ms: u64,
     frozen_until_ms: u64,
@@ -69,16 +69,16 @@
 }
 
 pub struct World {
-    now: u64,
-    goal: Goal,
-    machines: Vec<Machine>,
+    pub now: u64,
+    pub goal: Goal,
+    pub machines: Vec<Machine>,
     network: Vec<Packet>,
     next_id: Id,
     next_port: u16,
     next_content: u64,
-    leaders: BTreeMap<Term, (Id, SocketAddr)>,
+    pub leaders: BTreeMap<Term, (Id, SocketAddr)>,
     committed: BTreeMap<Index, Entry>,
-    acknowledged: BTreeMap<Index, Bytes>,
+    pub acknowledged: BTreeMap<Index, Bytes>,
     /// Identities whose disk was lost on purpose.
     lost: BTreeSet<Id>,
 }
@@ -356,7 +356,7 @@
         }
     }
 
-    fn is_frozen(&self, at: usize) -> bool {
+    pub fn is_frozen(&self, at: usize) -> bool {
         self.now < self.machines[at].frozen_until_ms
     }
 
@@ -569,68 +569,11 @@
     }
 
     /// Returns the machine that leads under a lease and is not frozen.
-    fn leader(&self) -> Option<usize> {
+    pub fn leader(&self) -> Option<usize> {
         let leads =
             |running: &Running| running.node.has_lease() && running.node.has_committed_in_term();
         (0..self.machines.len()).find(|at| {
             !self.is_frozen(*at) && self.machines[*at].running.as_ref().is_some_and(leads)
         })
     }
-
-    fn check(&mut self) {
-        let holds_lease = |running: &Running| running.node.has_lease();
-        let lease_holders = (0..self.machines.len()).filter(|at| {
-            let running = self.machines[*at].running.as_ref();
-            !self.is_frozen(*at) && running.is_some_and(holds_lease)
-        });
-        assert!(lease_holders.count() <= 1, "two leases at {}", self.now);
-        for machine in &self.machines {
-            let Some(running) = &machine.running else {
-                continue;
-            };
-            if running.node.role() == Role::Leader {
-                let term = running.node.term();
-                let leader = (running.id, machine.addr);
-                let first = *self.leaders.entry(term).or_insert(leader);
-                assert_eq!(first, leader, "two leaders in term {term}");
-            }
-        }
-    }
-
-    fn wanted_voters(&self) -> usize {
-        let machines = self.machines.len();
-        let odd = machines - usize::from(machines.is_multiple_of(2));
-        self.goal.voters().min(odd)
-    }
-
-    /// Checks that every machine is in the group and the group has its wanted size.
-    pub fn check_size(&self) {
-        let leader = self.leader().expect("a leader in a calm group");
-        let running = self.machines[leader].running.as_ref().expect("it runs");
-        let members = running.node.members();
-        assert_eq!(members.voters.len(), self.wanted_voters(), "{members:?}");
-        for machine in &self.machines {
-            let running = machine.running.as_ref().expect("every process runs");
-            assert_eq!(
-                members.addr(running.id),
-                Some(machine.addr),
-                "{} is not in the group: {members:?}",
-                machine.addr
-            );
-        }
-    }
-
-    /// Checks that the leader has everything that was acknowledged.
-    pub fn check_acknowledged(&self) {
-        let leader = self.leader().expect("a leader in a calm group");
-        let running = self.machines[leader].running.as_ref().expect("it runs");
-        for (index, content) in &self.acknowledged {
-            let entry = running
-                .node
-                .log()
-                .get(*index)
-                .expect("an entry that was acknowledged");
-            assert_eq!(entry.payload, Payload::Command(content.clone()));
-        }
-    }
 }
