--- a/src/raft/members.rs
+++ b/src/raft/members.rs
@@ -157,6 +157,11 @@
     }
 
     fn remove(&mut self, id: Id) -> Result<()> {
+        if self.addr(id).is_none() {
+            return Err(invalid(format!(
+                "cannot remove member {id}: it is not in the group"
+            )));
+        }
         if self.learners.remove(&id).is_none() {
             self.remove_voter(id)?;
         }
@@ -173,12 +178,12 @@
     fn remove_voter(&mut self, id: Id) -> Result<SocketAddr> {
         if self.voters.len() == 1 && self.is_voter(id) {
             return Err(invalid(format!(
-                "cannot remove member {id}: it is the last voter"
+                "cannot take the vote from member {id}: it is the last voter"
             )));
         }
         self.voters
             .remove(&id)
-            .ok_or_else(|| invalid(format!("cannot remove member {id}: it is not a voter")))
+            .ok_or_else(|| invalid(format!("cannot demote member {id}: it is not a voter")))
     }
 }
 
