--- a/tests/tests/membership.rs
+++ b/tests/tests/membership.rs
@@ -87,6 +87,12 @@
             losses: 1,
             steps: &[Step::Transfer, Step::ReplaceLeader, Step::RunFor(20_000)],
         },
+        Case {
+            name: "a machine is killed while it is suspended",
+            machines: 7,
+            losses: 3,
+            steps: &[Step::Replace(0), Step::Freeze(6, 19_800), Step::PowerOff],
+        },
         Case {
             name: "a copy of a member's disk is started at another address",
             machines: 5,
