--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -119,17 +119,13 @@
     let http = serve::start(options.http, HTTP_THREADS, Arc::clone(&gate), handler)?;
     let (stop, stopping) = channel::bounded(1);
     let (stopped_sender, stopped) = channel::bounded(1);
-    let (replaced_sender, replaced) = channel::bounded(1);
     let state: Arc<enrol::State> = Arc::default();
     state.update(&life.member);
-    if options.goal.is_some() {
-        enrol::start(
-            options.place.clone(),
-            group.clone(),
-            Arc::clone(&state),
-            replaced_sender,
-        )?;
-    }
+    let replaced = match options.goal {
+        Some(_goal) => enrol::start(options.place.clone(), group.clone(), Arc::clone(&state))?,
+        // Only operators change the group, and nobody tells the member.
+        None => channel::never(),
+    };
     let inputs = Inputs {
         calls,
         stopping,
--- a/src/control/enrol.rs
+++ b/src/control/enrol.rs
@@ -62,8 +62,8 @@
     }
 }
 
-/// Starts the thread. When the leader says that the group has replaced the member, `replaced` gets
-/// its identity.
+/// Starts the thread. When the leader says that the group has replaced the member, the channel
+/// returned gets its identity.
 ///
 /// # Errors
 /// `Internal` when no thread can be started.
@@ -71,10 +71,12 @@
     place: Place,
     group: Group,
     state: Arc<State>,
-    replaced: channel::Sender<Id>,
-) -> error::Result<()> {
-    let addr = group.transport().local_addr();
-    let Some(addr) = addr else { return Ok(()) };
+) -> error::Result<channel::Receiver<Id>> {
+    let addr = group
+        .transport()
+        .local_addr()
+        .ok_or_else(|| error::Error::new(Kind::Internal, "a control member must accept calls"))?;
+    let (replaced, replacements) = channel::bounded(1);
     uplink::spawn("enrol", move || {
         let mut enrolled_at = None;
         let mut replaced_answers = 0;
@@ -108,7 +110,8 @@
                 Err(err) => log::debug!("not enrolled, retrying: {err}"),
             }
         }
-    })
+    })?;
+    Ok(replacements)
 }
 
 fn call(group: &Group, enrolment: Enrolment) -> error::Result<()> {
