--- a/src/dev.rs
+++ b/src/dev.rs
@@ -218,12 +218,7 @@
             };
             let workers = count_true("/v1/workers", "up") == Some(self.workers.len());
             let targets = count_true("/v1/targets", "ready") == Some(self.targets.len());
-            let status = console.get("/v1/status").unwrap_or_default();
-            let processes = status["processes"].as_array().map_or(0, |processes| {
-                let current =
-                    |process: &&serde_json::Value| process["generation"] == config.generation;
-                processes.iter().filter(current).count()
-            });
+            let processes = current_processes(&console, config.generation);
             if workers && targets && processes == self.entries.len() + self.agents.len() {
                 return Ok(());
             }
@@ -333,3 +328,22 @@
         self.addr
     }
 }
+
+/// Returns the number of processes that report to the leader and use a generation of the
+/// configuration. Only the leader's status lists them.
+fn current_processes(console: &console::Console, generation: u64) -> usize {
+    let status = |addr: &SocketAddr| {
+        let member = console::Console {
+            control: vec![*addr],
+            ..console.clone()
+        };
+        member.get("/v1/status").unwrap_or_default()
+    };
+    let is_current = |process: &&serde_json::Value| process["generation"] == generation;
+    let count = |status: serde_json::Value| {
+        let processes = status["processes"].as_array().into_iter().flatten();
+        processes.filter(is_current).count()
+    };
+    let members = console.control.iter().map(status);
+    members.map(count).max().unwrap_or(0)
+}
--- a/tests/tests/operators.rs
+++ b/tests/tests/operators.rs
@@ -305,3 +305,15 @@
     let most = used.max().expect("a control member in this process");
     assert!(most < half, "{most} of {} ticks used", 2 * half);
 }
+
+#[test]
+fn the_demo_answers_every_sample_request() {
+    let demo = std::process::Command::new(env!("CARGO_BIN_EXE_oriolereel"))
+        .arg("demo")
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .output()
+        .expect("the binary of this package");
+    let text = String::from_utf8_lossy(&demo.stdout);
+    assert!(demo.status.success(), "{text}");
+    assert!(text.contains("16 answered, 0 lost, 0 doubled"), "{text}");
+}
