--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,8 @@
 
 #[path = "../1/case.rs"]
 mod case_1;
+#[path = "../2/case.rs"]
+mod case_2;
 mod cluster;
 mod http;
 mod jobs;
@@ -60,6 +62,7 @@
 ) -> cluster::Result<Vec<String>> {
     let (minions, run): (usize, Case) = match case {
         "1" => (case_1::MINIONS, case_1::run),
+        "2" => (case_2::MINIONS, case_2::run),
         other => return Err(format!("unknown case {other}")),
     };
     let mut cluster = cluster::Cluster::start(root, Arc::clone(record), minions)?;
