--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,8 @@
 mod case_1;
 #[path = "../2/case.rs"]
 mod case_2;
+#[path = "../3/case.rs"]
+mod case_3;
 mod cluster;
 mod http;
 mod jobs;
@@ -63,6 +65,7 @@
     let (minions, run): (usize, Case) = match case {
         "1" => (case_1::MINIONS, case_1::run),
         "2" => (case_2::MINIONS, case_2::run),
+        "3" => (case_3::MINIONS, case_3::run),
         other => return Err(format!("unknown case {other}")),
     };
     let mut cluster = cluster::Cluster::start(root, Arc::clone(record), minions)?;
