--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,8 @@
 mod case_2;
 #[path = "../3/case.rs"]
 mod case_3;
+#[path = "../4/case.rs"]
+mod case_4;
 mod cluster;
 mod http;
 mod jobs;
@@ -66,6 +68,7 @@
         "1" => (case_1::MINIONS, case_1::run),
         "2" => (case_2::MINIONS, case_2::run),
         "3" => (case_3::MINIONS, case_3::run),
+        "4" => (case_4::MINIONS, case_4::run),
         other => return Err(format!("unknown case {other}")),
     };
     let mut cluster = cluster::Cluster::start(root, Arc::clone(record), minions)?;
