--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,8 @@
 mod case_3;
 #[path = "../4/case.rs"]
 mod case_4;
+#[path = "../5/case.rs"]
+mod case_5;
 mod cluster;
 mod http;
 mod jobs;
@@ -69,6 +71,7 @@
         "2" => (case_2::MINIONS, case_2::run),
         "3" => (case_3::MINIONS, case_3::run),
         "4" => (case_4::MINIONS, case_4::run),
+        "5" => (case_5::MINIONS, case_5::run),
         other => return Err(format!("unknown case {other}")),
     };
     let mut cluster = cluster::Cluster::start(root, Arc::clone(record), minions)?;
