--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -184,18 +184,6 @@
         self.0.changed.notify_all();
     }
 
-    /// Makes the minion healthy or unhealthy. An unhealthy one answers starts with 503 and does nothing.
-    pub fn set_healthy(&self, is_healthy: bool) {
-        if let Some(life) = self.life().as_mut() {
-            life.is_healthy = is_healthy;
-        }
-        self.0.record.line(format_args!(
-            "minion on {} is {}",
-            self.machine(),
-            if is_healthy { "healthy" } else { "unhealthy" }
-        ));
-    }
-
     /// Makes the minion say in its reports that it drains, and sends one.
     pub fn drain(&self) -> Option<u16> {
         let born = {
