--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -1,40 +1,34 @@
-//! A minion that leaves gets no acknowledgement of its deregistration, and ends some seconds later.
+//! A report of another writer, with fields missing or of another type, reaches the process beside a
+//! minion.
 
 use std::thread;
-use std::time::Duration;
 
 use crate::cluster::{self, Cluster, Result};
 use crate::jobs::{self, seconds};
+use crate::worker::wall_ms;
 
 pub const MINIONS: usize = 4;
 
-/// Time from the acknowledgement of `draining` to the deregistration: `drainMs` and a little more.
-const DRAIN_TIME: Duration = Duration::from_millis(2_800);
-
-/// Time after which the minion ends although its deregistration was not acknowledged.
-const END_ANYWAY: Duration = Duration::from_millis(4_000);
-
 pub fn run(cluster: &mut Cluster, trouble: bool) -> Result<Vec<String>> {
     let id = cluster::job_id(1);
-    let runs = jobs::submit(cluster, &id, 1, 15_000, 16_000)?;
-    let name = &runs[0].worker;
-    let worker = cluster.worker_of(name).ok_or("no such minion")?;
-    let status = worker.drain();
-    cluster.record.line(format_args!(
-        "{name} says that it drains, answered {status:?}"
-    ));
-    if status != Some(200) {
-        return Err("the report was not acknowledged".to_owned());
-    }
-    thread::sleep(DRAIN_TIME);
-    worker.send_to_agent(name, "deregister", "");
+    let runs = jobs::submit(cluster, &id, 1, 8_000, 16_000)?;
+    thread::sleep(seconds(1));
     if trouble {
-        cluster
-            .record
-            .line("the answer to the deregistration is lost on its way; the minion ends 4 s later");
-        thread::sleep(END_ANYWAY);
+        let worker = cluster.worker_of(&runs[0].worker).ok_or("no such minion")?;
+        // `address` is missing; `zone`, `version` and `slots` are of another type.
+        let body = format!(
+            "{{\"service\":\"{}\",\"zone\":7,\"version\":null,\"slots\":\"eight\",\"state\":\"ready\",\
+             \"capacity\":{{\"cpu\":{},\"memMb\":524288,\"gpu\":8}},\"labels\":[\"a\",\"r0-1\"],\
+             \"sequence\":1,\"born\":{}}}",
+            cluster::SERVICE,
+            cluster::CPU,
+            wall_ms()
+        );
+        let status = worker.send_to_agent("i-0bad", "heartbeat", &body);
+        cluster.record.line(format_args!(
+            "another writer's report arrives, answered {status:?}: {body}"
+        ));
     }
-    worker.crash("it leaves");
-    jobs::complete(cluster, &id, seconds(45));
+    jobs::complete(cluster, &id, seconds(40));
     Ok(cluster.record.twice())
 }
