Logs and metrics that tell why a worker was given up, and that a run is active twice

The record of the incident can't distinguish its hypotheses: the agent logged nothing of what it knew of its worker, and the leader's line on a lost worker named no times. Now the agent logs another incarnation, a deregistration and the report of an end with its lease end, its last listing and its orders; the leader logs contact, listing and number of runs of a lost worker, counts lost workers by reason, and logs and counts runs that are active on a worker while their task is elsewhere. No decision changes.

--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -102,6 +102,8 @@
     last_check_ms: Millis,
     /// Whether the leader should receive a report at once.
     report_due: bool,
+    /// Whether the last report said that the incarnation has ended.
+    was_expired: bool,
 }
 
 impl Core {
@@ -132,6 +134,7 @@
             deregistered_ms: None,
             last_check_ms: 0,
             report_due: false,
+            was_expired: false,
         }
     }
 
@@ -155,7 +158,14 @@
             }
             // Drops the orders for the previous incarnation, including one that was only expected
             // after a restart.
-            Some(_other) => self.reset(),
+            Some((name, incarnation)) => {
+                log::info!(worker = info.name, incarnation = info.incarnation, previous = name,
+                    previous_incarnation = incarnation,
+                    listed_ago_ms = now.saturating_sub(self.last_response_ms),
+                    lease_left_ms = self.lease_end_ms.saturating_sub(now), orders = self.orders.len();
+                    "another incarnation has announced itself");
+                self.reset();
+            }
             None => {}
         }
         if let Some(clock_ms) = announcement.clock_ms {
@@ -527,6 +537,9 @@
             .as_mut()
             .filter(|worker| worker.info.name == name)
         {
+            log::info!(worker = name, incarnation = worker.info.incarnation,
+                lease_left_ms = self.lease_end_ms.saturating_sub(now), orders = self.orders.len();
+                "worker has deregistered");
             worker.draining = true;
             self.deregistered_ms = Some(now);
             self.report_due = true;
@@ -544,6 +557,15 @@
         self.report_due = false;
         let listing = self.listing.clone().unwrap_or_default();
         let responsive = self.listing.is_some() && self.is_responsive(now);
+        let expired = self.has_expired(now, responsive);
+        if expired && !self.was_expired {
+            log::info!(worker = info.name, incarnation = info.incarnation,
+                deregistered = self.deregistered_ms.is_some(), active = listing.active.len(),
+                listed_ago_ms = now.saturating_sub(self.last_response_ms),
+                lease_left_ms = self.lease_end_ms.saturating_sub(now);
+                "reporting that the worker has ended");
+        }
+        self.was_expired = expired;
         Some(Report {
             instance: self.instance.clone(),
             info,
@@ -551,7 +573,7 @@
             remaining_ms: worker.map_or(0, |worker| worker.remaining_ms),
             responsive,
             age_ms: now.saturating_sub(self.last_response_ms),
-            expired: self.has_expired(now, responsive),
+            expired,
             active: listing.active,
             ended: listing
                 .ended
--- a/src/flow/planner.rs
+++ b/src/flow/planner.rs
@@ -22,6 +22,7 @@
 use crate::flow::registry::{Cause, End, Info, Registry, State};
 use crate::flow::{JobId, Millis, Run, UnitId, WorkerKey};
 use crate::raft::Index;
+use crate::telemetry;
 
 /// Time without contact with an agent after which its worker gets no new runs.
 const CONTACT_TIMEOUT_MS: Millis = 2_500;
@@ -67,6 +68,38 @@
     }
 }
 
+/// Why a worker is removed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    /// Its agent reports that the incarnation has ended.
+    Expired,
+    /// A later incarnation has registered.
+    Superseded,
+    /// No contact until its leases expired.
+    Silent,
+}
+
+impl Loss {
+    /// Returns the value of the metric's label.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Expired => "expired",
+            Self::Superseded => "superseded",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+impl std::fmt::Display for Loss {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Expired => "its agent reports that the incarnation has ended",
+            Self::Superseded => "a later incarnation has registered",
+            Self::Silent => "no contact until its leases expired",
+        })
+    }
+}
+
 /// What the leader knows of a worker from its agent's reports.
 #[derive(Clone, Debug, Default)]
 struct Observation {
@@ -80,6 +113,8 @@
     responsive: bool,
     draining: bool,
     progress: BTreeMap<Run, Progress>,
+    /// Active runs that were logged because the log has their tasks on other workers.
+    duplicates: BTreeSet<Run>,
     /// Different jobs that have failed on the worker since a run last succeeded there or the worker
     /// was last quarantined for failures.
     failed_jobs: Vec<JobId>,
@@ -297,7 +332,7 @@
             return;
         };
         if report.expired {
-            self.remove_worker(key, "its agent reports that the incarnation has ended");
+            self.remove_worker(key, Loss::Expired);
             return;
         }
         let was_unusable = self
@@ -323,6 +358,7 @@
         }
         observation.listed_ms = observation.listed_ms.max(now.saturating_sub(report.age_ms));
         self.dirty |= was_unusable;
+        self.log_duplicates(key, &report);
         if self
             .projected
             .worker(key)
@@ -393,7 +429,7 @@
     fn register(&mut self, info: &Info) -> Option<WorkerKey> {
         let replaced = self.projected.related_workers(info);
         for key in replaced {
-            self.remove_worker(key, "a later incarnation has registered");
+            self.remove_worker(key, Loss::Superseded);
         }
         let key = self.projected.next_worker();
         log::info!(worker = info.name, key = key.0, rack = info.rack, domain = info.domain; "worker registered");
@@ -405,9 +441,15 @@
     }
 
     /// Removes a worker and ends its runs with their latest reported checkpoints.
-    fn remove_worker(&mut self, key: WorkerKey, reason: &str) {
+    fn remove_worker(&mut self, key: WorkerKey, loss: Loss) {
         self.failing.remove(&key);
         let observation = self.observations.remove(&key).unwrap_or_default();
+        let silent_ms = self.now.saturating_sub(observation.last_contact_ms);
+        let listed_ago_ms = self.now.saturating_sub(observation.listed_ms);
+        let runs = self
+            .projected
+            .worker(key)
+            .map_or(0, |worker| worker.runs.len());
         let checkpoints = observation.progress.into_iter();
         let checkpoints = checkpoints
             .map(|(run, progress)| (run, progress.checkpoint))
@@ -416,7 +458,11 @@
             .projected
             .worker(key)
             .map(|worker| worker.info.name.clone());
-        log::info!(worker = name.unwrap_or_default(), key = key.0; "worker lost: {reason}");
+        telemetry::WORKERS_REMOVED
+            .with_label_values(&[loss.label()])
+            .inc();
+        log::info!(worker = name.unwrap_or_default(), key = key.0, runs = runs, silent_ms = silent_ms,
+            listed_ago_ms = listed_ago_ms; "worker lost: {loss}");
         self.push(Command::RemoveWorker {
             worker: key,
             checkpoints,
@@ -494,7 +540,7 @@
                 .get(&key)
                 .is_none_or(|observation| now > observation.lease_end_ms);
             if has_expired {
-                self.remove_worker(key, "no contact until its leases expired");
+                self.remove_worker(key, Loss::Silent);
             }
         }
         let ends = self
--- a/src/flow/planner/watch.rs
+++ b/src/flow/planner/watch.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeSet;
 
-use crate::flow::message::Active;
+use crate::flow::message::{Active, Report};
 use crate::flow::planner::{Planner, Progress};
 use crate::flow::registry::{Cause, End, Running};
 use crate::flow::{Millis, Run, UnitId, WorkerKey};
+use crate::telemetry;
 
 /// Time without progress after which a run counts as stalled. Progress is reported in whole per
 /// cent: a run of ten minutes advances only every six seconds, so long runs are not watched.
@@ -55,6 +56,32 @@
         }
     }
 
+    /// Logs active runs of a worker whose tasks the log has on other workers. Each is logged once.
+    pub(super) fn log_duplicates(&mut self, key: WorkerKey, report: &Report) {
+        let is_elsewhere = |run: &Run| {
+            let unit = self.projected.unit_of(run.task);
+            let unit = unit.and_then(|id| Some((id, self.projected.unit(id)?)));
+            unit.is_some_and(|(id, unit)| {
+                let position = (run.task.index - id.first) as usize;
+                let member = unit.running.as_ref();
+                let member = member.and_then(|running| running.members.get(position));
+                member.is_some_and(|member| member.worker != key && member.end.is_none())
+            })
+        };
+        let runs = report.active.iter().map(|active| active.run);
+        let duplicates: BTreeSet<Run> = runs.filter(is_elsewhere).collect();
+        let Some(observation) = self.observations.get_mut(&key) else {
+            return;
+        };
+        for run in duplicates.difference(&observation.duplicates) {
+            telemetry::DUPLICATE_RUNS.inc();
+            log::warn!(job:% = format_args!("{:016x}", run.task.job), step = run.task.step,
+                index = run.task.index, run = run.number, worker = report.info.name, key = key.0,
+                agent = report.instance; "run is active on a worker, but its task was placed on another one");
+        }
+        observation.duplicates = duplicates;
+    }
+
     /// Reports whether a worker is quarantined.
     pub fn is_quarantined(&self, key: WorkerKey) -> bool {
         let observation = self.observations.get(&key);
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -335,6 +335,23 @@
 pub static GANGS: LazyLock<IntGauge> =
     LazyLock::new(|| gauge("oriolereel_gangs", "Gangs that this agent runs"));
 
+/// Workers removed by the leader, by reason.
+pub static WORKERS_REMOVED: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter_vec(
+        "oriolereel_workers_removed_total",
+        "Workers that the leader has removed",
+        &["reason"],
+    )
+});
+
+/// Runs that were reported as active on a worker while the log has their task elsewhere.
+pub static DUPLICATE_RUNS: LazyLock<IntCounter> = LazyLock::new(|| {
+    counter(
+        "oriolereel_duplicate_runs_total",
+        "Runs reported as active whose task the log has elsewhere",
+    )
+});
+
 /// Lease operations by verb and outcome.
 pub static LEASES: LazyLock<IntCounterVec> = LazyLock::new(|| {
     counter_vec(
