Flow: a worker's runs start elsewhere only once its incarnation is known to have ended

Callers saw tasks of one worker run twice. Cause: hints counted as the end of an incarnation. A deregistration ended it after 1.5 s whatever its listings said, and whichever life of the name had sent it; an announcement of another incarnation ended the one before at once, though it was malformed, delayed, or named a worker that had already accepted starts under the same name; and an agent that had just started knew of no lease that its earlier process had given. Conversely a worker that was lost for good never ended, as each call without an answer counted as an extension of its lease.

Change, agent: an announcement names a candidate, which takes over only once it has answered a list call; the machine's one address shows that the incarnation before has ended. Fencing tokens carry the worker's key, so that a worker refuses calls meant for an earlier incarnation of its name. A lease is extended only while the worker answers and not after its deregistration; draining workers get leases of 1.5 s. Ends are not acknowledged before the incarnation has listed them: their numbers start anew. An expired worker's runs are reported one by one, so that a report that arrives late ends nothing that was placed since. Leader: an incarnation takes nothing from its predecessor until its agent reports it as settled: it refuses calls under earlier keys and holds only its own runs. What it ran for its predecessor counts. A late report on a replaced incarnation is ignored.

Why it works: a run is given up on the worker's own word under the same incarnation, on the word of its successor at the same address after everything meant for it is refused, or after every lease that could carry it has run out.

--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -4,15 +4,18 @@
 //! The agent is the only caller of its worker and stores nothing durably. After a restart it learns
 //! from the worker's own lists what is running.
 
+mod incarnation;
 mod lease;
 mod order;
 
-pub use order::{Announcement, Effect, List, Listing, Outcome, Start, Stop};
+pub use order::{Announcement, Answer, Effect, List, Listing, Outcome, Start, Stop};
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 
+use incarnation::Candidate;
+
 use crate::flow::message::{Orders, Poll, Report};
 use crate::flow::planner;
 use crate::flow::registry::Info;
@@ -28,12 +31,6 @@
 /// Maximum time that the leader holds a poll for orders.
 pub const POLL_WAIT_MS: Millis = 500;
 
-/// Time after the last listing from which on the worker counts as unresponsive.
-const RESPONSE_TIMEOUT_MS: Millis = 2_500;
-
-/// Time from a worker's deregistration until all of its runs have ended.
-const DEREGISTRATION_GRACE_MS: Millis = 1_500;
-
 /// Number of unconfirmed attempts to start a run after which the run is stopped and reported as
 /// absent.
 const MAX_START_ATTEMPTS: u32 = 12;
@@ -67,9 +64,14 @@
     options: planner::Options,
     instance: String,
     worker: Option<Announcement>,
+    candidate: Option<Candidate>,
     /// Incarnation that the leader has registered, for use until the worker has announced itself.
     expected: Option<Info>,
     key: Option<WorkerKey>,
+    /// Highest key that a worker of this agent has had.
+    highest_key: u64,
+    /// Key under which the worker was seen to hold no run but those that the leader wants there.
+    settled: Option<WorkerKey>,
     /// Highest fencing token of the leader.
     token: u64,
     /// Time at which the last answered poll was sent; the grant starts then.
@@ -80,7 +82,7 @@
     worker_clock: Option<(Millis, Millis)>,
     /// Time after which all leases must have expired.
     lease_end_ms: Millis,
-    /// Whether the leader's last reply named no worker for this agent.
+    /// Whether the leader has registered no worker for this agent, as far as it is known.
     is_unregistered: bool,
     /// Whether the leader has fenced the worker.
     is_fenced: bool,
@@ -93,11 +95,15 @@
     listed_ms: Millis,
     /// Time at which the last listing arrived.
     last_response_ms: Millis,
+    /// Runs that should be active, according to the leader.
+    wanted: BTreeSet<Run>,
     orders: BTreeMap<Run, Order>,
     removals: BTreeMap<Run, Removal>,
     absent: BTreeSet<Run>,
-    /// Time of the worker's deregistration.
-    deregistered_ms: Option<Millis>,
+    /// Whether the worker has deregistered.
+    is_leaving: bool,
+    /// Whether a later incarnation has answered under the worker's name.
+    is_superseded: bool,
     /// Time of the last check for a suspension of the machine.
     last_check_ms: Millis,
     /// Whether the leader should receive a report at once.
@@ -113,8 +119,11 @@
             options,
             instance,
             worker: None,
+            candidate: None,
             expected: None,
             key: None,
+            highest_key: 0,
+            settled: None,
             token: 0,
             last_grant_ms: 0,
             index: 0,
@@ -128,85 +137,18 @@
             listing: None,
             listed_ms: 0,
             last_response_ms: 0,
+            wanted: BTreeSet::new(),
             orders: BTreeMap::new(),
             removals: BTreeMap::new(),
             absent: BTreeSet::new(),
-            deregistered_ms: None,
+            is_leaving: false,
+            is_superseded: false,
             last_check_ms: 0,
             report_due: false,
             was_expired: false,
         }
     }
 
-    /// Handles an announcement of the worker. Announcements of an earlier incarnation, and those that
-    /// arrive out of order, are ignored.
-    pub fn on_announcement(&mut self, now: Millis, announcement: Announcement) {
-        self.check_clock(now);
-        let info = &announcement.info;
-        match self.incarnation() {
-            Some((name, incarnation)) if name == info.name && incarnation == info.incarnation => {
-                let worker = self.worker.as_ref();
-                if worker.is_some_and(|worker| announcement.sequence <= worker.sequence) {
-                    return;
-                }
-            }
-            Some((_name, incarnation))
-                if info.incarnation < incarnation && self.is_responsive(now) =>
-            {
-                log::info!(worker = info.name; "ignored a late announcement of an earlier incarnation");
-                return;
-            }
-            // Drops the orders for the previous incarnation, including one that was only expected
-            // after a restart.
-            Some((name, incarnation)) => {
-                log::info!(worker = info.name, incarnation = info.incarnation, previous = name,
-                    previous_incarnation = incarnation,
-                    listed_ago_ms = now.saturating_sub(self.last_response_ms),
-                    lease_left_ms = self.lease_end_ms.saturating_sub(now), orders = self.orders.len();
-                    "another incarnation has announced itself");
-                self.reset();
-            }
-            None => {}
-        }
-        if let Some(clock_ms) = announcement.clock_ms {
-            self.set_worker_clock(now, clock_ms);
-        }
-        self.report_due |= self.worker.as_ref().is_none_or(|worker| {
-            worker.draining != announcement.draining || worker.info != announcement.info
-        });
-        self.worker = Some(announcement);
-    }
-
-    /// Clears everything that concerns the previous incarnation.
-    fn reset(&mut self) {
-        self.key = None;
-        self.worker_clock = None;
-        self.listing = None;
-        self.lease_end_ms = 0;
-        self.is_unregistered = false;
-        self.is_fenced = false;
-        self.fence_end_ms = None;
-        self.fence_expired = false;
-        self.cursor = 0;
-        self.index = 0;
-        self.expected = None;
-        self.deregistered_ms = None;
-        self.orders.clear();
-        self.removals.clear();
-        self.absent.clear();
-    }
-
-    fn is_responsive(&self, now: Millis) -> bool {
-        now < self.last_response_ms + RESPONSE_TIMEOUT_MS
-    }
-
-    /// Returns the name and incarnation of the current worker.
-    fn incarnation(&self) -> Option<(String, u64)> {
-        let info = self.worker.as_ref().map(|worker| &worker.info);
-        let info = info.or(self.expected.as_ref())?;
-        Some((info.name.clone(), info.incarnation))
-    }
-
     /// Returns the next poll for orders.
     pub fn poll(&self) -> Poll {
         let known = self.orders.keys().copied();
@@ -236,7 +178,14 @@
         };
         self.is_unregistered = false;
         match &self.worker {
-            None => self.expected = Some(info),
+            None => {
+                if self.expected.is_none() {
+                    // An earlier process of this agent may have extended its lease.
+                    self.record_lease(now);
+                }
+                self.expected = Some(info);
+                self.adopt_expected(now);
+            }
             Some(worker)
                 if worker.info.name != info.name || worker.info.incarnation != info.incarnation =>
             {
@@ -250,6 +199,7 @@
         }
         self.set_fenced(now, orders.fenced);
         self.key = Some(key);
+        self.highest_key = self.highest_key.max(key.0);
         self.index = orders.index;
         self.cursor = self.cursor.max(orders.cursor);
         let mut payloads: BTreeMap<Run, (Bytes, String)> = orders
@@ -257,8 +207,9 @@
             .into_iter()
             .map(|start| (start.run, (start.payload, start.checkpoint)))
             .collect();
-        let wanted: BTreeSet<Run> = orders.wanted.into_iter().collect();
-        for run in &wanted {
+        self.wanted = orders.wanted.into_iter().collect();
+        let wanted = &self.wanted;
+        for run in wanted {
             if let Some((payload, checkpoint)) = payloads.remove(run) {
                 self.orders.entry(*run).or_insert(Order {
                     payload,
@@ -273,6 +224,7 @@
         if self.is_fenced {
             self.stop_all();
         }
+        let wanted = &self.wanted;
         self.orders.retain(|run, _order| wanted.contains(run));
         let listed = self.listing.iter().flat_map(|listing| &listing.active);
         let unwanted = listed
@@ -292,35 +244,60 @@
         self.due_effects(now)
     }
 
-    /// Returns the next call for the worker's lists. The first one of an incarnation does not wait.
+    /// Returns the next call for the lists of the worker or of a candidate.
     pub fn list(&mut self, now: Millis, wait_ms: Millis) -> Option<List> {
         self.check_clock(now);
-        let (worker, _incarnation) = self.incarnation()?;
         if self.token == 0 {
             return None;
         }
-        let wait_ms = if self.listing.is_none() { 0 } else { wait_ms };
+        if let Some(probe) = self.probe(now) {
+            return Some(probe);
+        }
+        let (worker, _incarnation) = self.incarnation()?;
+        let wait_ms = if self.lists_at_once(now) {
+            0
+        } else {
+            wait_ms.min(self.max_list_wait_ms())
+        };
         let expires_ms = self.lease_expires_ms(now);
         if expires_ms.is_some() {
             self.record_lease(now);
         }
         Some(List {
             worker,
-            token: self.token,
-            cursor: self.cursor,
+            token: self.call_token(),
+            // Numbers of ends start anew with each incarnation.
+            cursor: if self.listing.is_none() || self.is_superseded {
+                0
+            } else {
+                self.cursor
+            },
             expires_ms,
             wait_ms,
         })
     }
 
+    /// Reports whether the next list call should be answered without waiting: as long as it is not
+    /// known which worker is there and that it holds only its own runs.
+    fn lists_at_once(&self, now: Millis) -> bool {
+        self.listing.is_none()
+            || self.candidate.is_some()
+            || self.settled.is_none()
+            || self.settled != self.key
+            || !self.is_responsive(now)
+    }
+
     /// Handles the listing returned by a call that was sent at `sent_ms`. Returns the calls to make
     /// next.
-    pub fn on_listing(&mut self, now: Millis, sent_ms: Millis, listing: Listing) -> Vec<Effect> {
+    pub fn on_listing(
+        &mut self,
+        now: Millis,
+        sent_ms: Millis,
+        list: &List,
+        listing: Listing,
+    ) -> Vec<Effect> {
         self.check_clock(now);
-        let incarnation = self.incarnation().map(|(_name, incarnation)| incarnation);
-        if incarnation.is_some_and(|incarnation| incarnation != listing.incarnation)
-            || sent_ms < self.listed_ms
-        {
+        if sent_ms < self.listed_ms || !self.identify(now, sent_ms, list, &listing) {
             return Vec::new();
         }
         self.set_worker_clock(now, listing.clock_ms);
@@ -348,6 +325,18 @@
             self.report_due = true;
         }
         self.find_absent(sent_ms, &listing);
+        let holds_own = listing
+            .active
+            .iter()
+            .all(|active| self.wanted.contains(&active.run));
+        if self.key.is_some()
+            && self.settled != self.key
+            && holds_own
+            && list.token == self.call_token()
+        {
+            self.settled = self.key;
+            self.report_due = true;
+        }
         self.listing = Some(listing);
         self.listed_ms = sent_ms;
         self.last_response_ms = now;
@@ -422,11 +411,12 @@
             .any(|(_run, removal)| removal.confirmed_ms.is_some())
     }
 
-    /// Reports whether the listing holds ends that the leader has not acknowledged. The worker
-    /// answers list calls without waiting as long as there are any.
-    pub fn has_unacknowledged_ends(&self) -> bool {
+    /// Reports whether the worker answers the next list call without waiting, as it does if its listing
+    /// holds ends that the leader has not acknowledged.
+    pub fn is_answered_at_once(&self, now: Millis) -> bool {
         let ended = self.listing.iter().flat_map(|listing| &listing.ended);
-        ended.into_iter().any(|ended| ended.number > self.cursor)
+        let is_unacknowledged = ended.into_iter().any(|ended| ended.number > self.cursor);
+        is_unacknowledged || self.lists_at_once(now)
     }
 
     /// Marks all runs for removal that are active or may have been started.
@@ -445,10 +435,15 @@
         let Some((worker, _incarnation)) = self.incarnation() else {
             return effects;
         };
-        if self.listing.is_none() {
+        self.report_due |= !self.was_expired && self.has_expired(now);
+        if self.listing.is_none() || self.is_superseded {
             return effects;
         }
-        if self.may_be_declared_lost(now) || self.is_fenced || self.is_unregistered {
+        if self.may_be_declared_lost(now)
+            || self.is_fenced
+            || self.is_unregistered
+            || self.is_leaving
+        {
             self.stop_all();
         }
         let Some(listing) = &self.listing else {
@@ -458,7 +453,8 @@
             listing.active.iter().any(|active| active.run == *run)
                 || listing.ended.iter().any(|ended| ended.run == *run)
         };
-        let is_draining = self.worker.as_ref().is_some_and(|worker| worker.draining);
+        let is_draining = self.is_draining();
+        let token = self.call_token();
         let expires_ms = self.lease_expires_ms(now);
         let mut cancelled = Vec::new();
         for (run, order) in &mut self.orders {
@@ -485,7 +481,7 @@
                 payload: order.payload.clone(),
                 checkpoint: order.checkpoint.clone(),
                 expires_ms,
-                token: self.token,
+                token,
             })));
         }
         for run in cancelled {
@@ -502,7 +498,7 @@
             effects.push(Effect::Stop(Stop {
                 worker: worker.clone(),
                 run: *run,
-                token: self.token,
+                token,
             }));
         }
         if !effects.is_empty() && expires_ms.is_some() {
@@ -516,36 +512,11 @@
         self.report_due && self.incarnation().is_some()
     }
 
-    /// Reports whether no run of the incarnation can still be active.
-    fn has_expired(&self, now: Millis, responsive: bool) -> bool {
-        let leases_expired = self.listing.is_some() && !responsive && now > self.lease_end_ms;
-        let has_deregistered = self
-            .deregistered_ms
-            .is_some_and(|at_ms| now > at_ms + DEREGISTRATION_GRACE_MS);
-        leases_expired || has_deregistered
-    }
-
     /// Schedules another report after one has failed to arrive.
     pub fn retry_report(&mut self) {
         self.report_due = true;
     }
 
-    /// Handles the worker's deregistration. Its remaining runs end shortly afterwards.
-    pub fn on_deregistered(&mut self, now: Millis, name: &str) {
-        if let Some(worker) = self
-            .worker
-            .as_mut()
-            .filter(|worker| worker.info.name == name)
-        {
-            log::info!(worker = name, incarnation = worker.info.incarnation,
-                lease_left_ms = self.lease_end_ms.saturating_sub(now), orders = self.orders.len();
-                "worker has deregistered");
-            worker.draining = true;
-            self.deregistered_ms = Some(now);
-            self.report_due = true;
-        }
-    }
-
     /// Returns a report for the leader, or nothing if no worker is known yet.
     pub fn report(&mut self, now: Millis) -> Option<Report> {
         self.check_clock(now);
@@ -557,19 +528,21 @@
         self.report_due = false;
         let listing = self.listing.clone().unwrap_or_default();
         let responsive = self.listing.is_some() && self.is_responsive(now);
-        let expired = self.has_expired(now, responsive);
+        let expired = self.has_expired(now);
+        if expired {
+            self.mark_expired();
+        }
         if expired && !self.was_expired {
-            log::info!(worker = info.name, incarnation = info.incarnation,
-                deregistered = self.deregistered_ms.is_some(), active = listing.active.len(),
-                listed_ago_ms = now.saturating_sub(self.last_response_ms),
-                lease_left_ms = self.lease_end_ms.saturating_sub(now);
+            log::info!(worker = info.name, incarnation = info.incarnation, deregistered = self.is_leaving,
+                active = listing.active.len(), lapsed = self.absent.len(),
+                listed_ago_ms = now.saturating_sub(self.last_response_ms);
                 "reporting that the worker has ended");
         }
         self.was_expired = expired;
         Some(Report {
             instance: self.instance.clone(),
             info,
-            draining: worker.as_ref().is_some_and(|worker| worker.draining),
+            draining: self.is_draining(),
             remaining_ms: worker.map_or(0, |worker| worker.remaining_ms),
             responsive,
             age_ms: now.saturating_sub(self.last_response_ms),
@@ -581,7 +554,11 @@
                 .filter(|ended| ended.number > self.cursor)
                 .collect(),
             absent: self.absent.iter().copied().collect(),
-            unfence: self.key.filter(|_key| self.fence_expired),
+            settled: if self.is_fenced {
+                self.key.filter(|_key| self.fence_expired)
+            } else {
+                self.settled.filter(|key| self.key == Some(*key))
+            },
         })
     }
 }
--- a/src/flow/agent/lease.rs
+++ b/src/flow/agent/lease.rs
@@ -10,9 +10,9 @@
 /// Maximum drift of the worker's clock, which is 2 %, plus a margin of half as much.
 const LEASE_DRIFT_PERCENT: Millis = 3;
 
-/// Margin added to the end of a lease on the worker's clock before the lease counts as expired. It
-/// covers the error of the agent's estimate of that clock.
-const FENCE_MARGIN_MS: Millis = 200;
+/// Margin added to the end of a lease before the lease counts as expired. It covers the error of the
+/// agent's estimate of the worker's clock.
+const LEASE_MARGIN_MS: Millis = 200;
 
 impl Core {
     /// Checks the clock for a suspension of the machine. The time of a suspension counts for the
@@ -57,17 +57,38 @@
         }
     }
 
+    /// Returns the term of a lease that starts now. It is short on a draining worker, whose runs can
+    /// start elsewhere only after their leases have expired.
+    fn lease_ms(&self) -> Millis {
+        if self.is_draining() {
+            self.options.bounds.drain_lease_ms()
+        } else {
+            self.options.bounds.lease_ms()
+        }
+    }
+
+    /// Returns the longest time that the worker may hold a list call, which also extends the lease.
+    pub(super) fn max_list_wait_ms(&self) -> Millis {
+        self.options.bounds.list_wait_ms(self.lease_ms())
+    }
+
     /// Returns the end of a lease that starts now, on the worker's clock; nothing if the lease may not
-    /// be extended.
+    /// be extended. That of a worker which does not answer must expire, as it may be lost for good.
     pub(super) fn lease_expires_ms(&self, now: Millis) -> Option<Millis> {
-        let may_extend = self.has_grant(now) && !self.is_fenced;
-        self.max_lease_end_ms(now).filter(|_end_ms| may_extend)
+        let may_extend = self.key.is_some()
+            && self.has_grant(now)
+            && self.is_responsive(now)
+            && !self.is_fenced
+            && !self.is_leaving
+            && !self.is_superseded;
+        self.lease_end_on_worker_ms(now, self.lease_ms())
+            .filter(|_end_ms| may_extend)
     }
 
-    /// Returns the latest possible end of a lease that started up to now, on the worker's clock.
-    pub(super) fn max_lease_end_ms(&self, now: Millis) -> Option<Millis> {
+    /// Returns the end of a lease of the given term, on the worker's clock.
+    fn lease_end_on_worker_ms(&self, now: Millis, lease_ms: Millis) -> Option<Millis> {
         let (clock_ms, read_ms) = self.worker_clock?;
-        Some(clock_ms + now.saturating_sub(read_ms) + self.options.bounds.lease_ms())
+        Some(clock_ms + now.saturating_sub(read_ms) + lease_ms)
     }
 
     /// Sets whether the leader has fenced the worker. The lease of a fenced worker is not extended,
@@ -83,15 +104,16 @@
         self.is_fenced = is_fenced;
         if is_fenced && self.fence_end_ms.is_none() {
             self.fence_end_ms = self
-                .max_lease_end_ms(now)
-                .map(|end_ms| end_ms + FENCE_MARGIN_MS);
+                .lease_end_on_worker_ms(now, self.options.bounds.lease_ms())
+                .map(|end_ms| end_ms + LEASE_MARGIN_MS);
         }
     }
 
-    /// Records that a lease extension is sent to the worker now.
+    /// Records that a call which may extend a lease is sent to the worker now.
     pub(super) fn record_lease(&mut self, now: Millis) {
-        let lease_ms = self.options.bounds.lease_ms();
-        let end_ms = now + lease_ms + lease_ms * LEASE_DRIFT_PERCENT / 100;
+        let lease_ms = self.lease_ms();
+        let drift_ms = lease_ms * LEASE_DRIFT_PERCENT / 100;
+        let end_ms = now + lease_ms + drift_ms + LEASE_MARGIN_MS;
         self.lease_end_ms = self.lease_end_ms.max(end_ms);
     }
 }
--- a/src/flow/agent/order.rs
+++ b/src/flow/agent/order.rs
@@ -55,6 +55,16 @@
     pub ended: Vec<Ended>,
 }
 
+/// Answer to a list call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Listing(Listing),
+    /// Another worker than the named one has answered.
+    WrongWorker,
+    /// No usable answer.
+    Unknown,
+}
+
 /// Outcome of a call to start a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/src/flow/bounds.rs
+++ b/src/flow/bounds.rs
@@ -6,11 +6,14 @@
 /// Term of a lease on a worker that outlasts a restart of the agent.
 const LEASE_MS: Millis = 4_000;
 
+/// Term of a lease on a draining worker.
+const DRAIN_LEASE_MS: Millis = 1_500;
+
 /// Extensions of a lease that may fail in a row before it expires.
 const EXTENSIONS_PER_LEASE: Millis = 4;
 
 /// Longest time that a worker holds a list call until a run ends.
-const MAX_LIST_WAIT_MS: Millis = 1_000;
+pub const MAX_LIST_WAIT_MS: Millis = 1_000;
 
 /// Time in addition to the worker's own in which the end of a stopped run is in the log: an order, a
 /// listing, a report and their repeats.
@@ -70,9 +73,15 @@
         LEASE_MS.min(self.max_lease_ms)
     }
 
-    /// Returns the longest time that a worker may hold a list call, which also extends the lease.
-    pub fn list_wait_ms(&self) -> Millis {
-        MAX_LIST_WAIT_MS.min(self.lease_ms() / EXTENSIONS_PER_LEASE)
+    /// Returns the term of a lease on a draining worker.
+    pub fn drain_lease_ms(&self) -> Millis {
+        DRAIN_LEASE_MS.min(self.lease_ms())
+    }
+
+    /// Returns the longest time that a worker may hold a list call, which also extends a lease of the
+    /// given term.
+    pub fn list_wait_ms(&self, lease_ms: Millis) -> Millis {
+        MAX_LIST_WAIT_MS.min(lease_ms / EXTENSIONS_PER_LEASE)
     }
 
     /// Returns the time in which preempted runs must end, or the claim on their capacity is dropped.
--- a/src/flow/message.rs
+++ b/src/flow/message.rs
@@ -77,15 +77,16 @@
     pub responsive: bool,
     /// Age of `active` and `ended`.
     pub age_ms: Millis,
-    /// Whether the incarnation has ended, by its leases or by deregistration, so that none of its
-    /// runs can still be active.
+    /// Whether every lease of the incarnation has expired and it no longer answers or is leaving. Its
+    /// runs that the agent knows are then among those in `absent`.
     pub expired: bool,
     pub active: Vec<Active>,
     pub ended: Vec<Ended>,
-    /// Runs that have not started and never will.
+    /// Runs that are not active and never will be.
     pub absent: Vec<Run>,
-    /// Key of the worker, if it was fenced and its old leases have expired since.
-    pub unfence: Option<WorkerKey>,
+    /// Key of the worker, once it refuses calls under earlier keys and holds no run but those that the
+    /// leader wants there. For a fenced worker: once its old leases have expired.
+    pub settled: Option<WorkerKey>,
 }
 
 /// An agent's long poll for its orders.
--- a/src/flow/planner.rs
+++ b/src/flow/planner.rs
@@ -5,6 +5,7 @@
 //! on a decision before it is committed.
 
 mod pass;
+mod report;
 mod reserve;
 mod search;
 mod wait_reasons;
@@ -17,12 +18,11 @@
 use crate::flow::catalog::{Catalog, Route};
 use crate::flow::command::{Accepted, Command};
 use crate::flow::fleet::Fleet;
-use crate::flow::message::{Action, Answer, Ended, Report};
+use crate::flow::message::{Action, Answer};
 use crate::flow::planner::watched::Watched;
-use crate::flow::registry::{Cause, End, Info, Registry, State};
+use crate::flow::registry::{Cause, Registry, State};
 use crate::flow::{JobId, Millis, Run, UnitId, WorkerKey};
 use crate::raft::Index;
-use crate::telemetry;
 
 /// Time without contact with an agent after which its worker gets no new runs.
 const CONTACT_TIMEOUT_MS: Millis = 2_500;
@@ -68,38 +68,6 @@
     }
 }
 
-/// Why a worker is removed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Loss {
-    /// Its agent reports that the incarnation has ended.
-    Expired,
-    /// A later incarnation has registered.
-    Superseded,
-    /// No contact until its leases expired.
-    Silent,
-}
-
-impl Loss {
-    /// Returns the value of the metric's label.
-    fn label(self) -> &'static str {
-        match self {
-            Self::Expired => "expired",
-            Self::Superseded => "superseded",
-            Self::Silent => "silent",
-        }
-    }
-}
-
-impl std::fmt::Display for Loss {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
-            Self::Expired => "its agent reports that the incarnation has ended",
-            Self::Superseded => "a later incarnation has registered",
-            Self::Silent => "no contact until its leases expired",
-        })
-    }
-}
-
 /// What the leader knows of a worker from its agent's reports.
 #[derive(Clone, Debug, Default)]
 struct Observation {
@@ -112,6 +80,9 @@
     reported: bool,
     responsive: bool,
     draining: bool,
+    /// Workers at the same agent that registered before. Their runs may still be active until this
+    /// incarnation is settled.
+    predecessors: Vec<WorkerKey>,
     progress: BTreeMap<Run, Progress>,
     /// Active runs that were logged because the log has their tasks on other workers.
     duplicates: BTreeSet<Run>,
@@ -191,9 +162,11 @@
         // The previous leader may have renewed any grant up to now.
         let lease_end_ms = planner.grant_end_ms();
         planner.watched.next_loss_ms = lease_end_ms;
-        for (key, _worker) in registry.workers() {
+        for (key, worker) in registry.workers() {
+            let others = registry.workers_of(&worker.info.instance);
             let observation = Observation {
                 lease_end_ms,
+                predecessors: others.filter(|other| *other < key).collect(),
                 ..Observation::default()
             };
             planner.observations.insert(key, observation);
@@ -307,168 +280,6 @@
         }
     }
 
-    /// Renews the grant of an agent that is about to receive its orders. Returns false, without a new
-    /// grant, if the worker was declared lost, even if that decision is not committed yet.
-    pub fn try_grant(&mut self, now: Millis, worker: WorkerKey) -> bool {
-        if self.projected.worker(worker).is_none() {
-            return false;
-        }
-        self.now = self.now.max(now);
-        let lease_end_ms = self.grant_end_ms();
-        let observation = self.observations.entry(worker).or_default();
-        observation.lease_end_ms = observation.lease_end_ms.max(lease_end_ms);
-        observation.last_contact_ms = observation.last_contact_ms.max(now);
-        self.watched.next_loss_ms = self.watched.next_loss_ms.min(lease_end_ms);
-        true
-    }
-
-    /// Handles an agent's report on its worker.
-    pub fn report(&mut self, now: Millis, report: Report) {
-        self.now = self.now.max(now);
-        let known = self
-            .projected
-            .find_worker(&report.info.name, report.info.incarnation);
-        let Some(key) = known.or_else(|| self.register(&report.info)) else {
-            return;
-        };
-        if report.expired {
-            self.remove_worker(key, Loss::Expired);
-            return;
-        }
-        let was_unusable = self
-            .observations
-            .get(&key)
-            .is_none_or(|observation| observation.draining || !observation.responsive);
-        let lease_end_ms = self.grant_end_ms();
-        let now = self.now;
-        let observation = self.observations.entry(key).or_default();
-        observation.last_contact_ms = now;
-        observation.lease_end_ms = observation.lease_end_ms.max(lease_end_ms);
-        self.watched.next_loss_ms = self.watched.next_loss_ms.min(lease_end_ms);
-        self.watched.reported.insert(key);
-        if report.draining && !observation.draining {
-            log::info!(worker = report.info.name; "worker draining, {} ms remaining", report.remaining_ms);
-        }
-        observation.draining = report.draining;
-        observation.responsive = report.responsive;
-        if !observation.reported {
-            observation.reported = true;
-            self.gathered += 1;
-            self.gathered_ms = now;
-        }
-        observation.listed_ms = observation.listed_ms.max(now.saturating_sub(report.age_ms));
-        self.dirty |= was_unusable;
-        self.log_duplicates(key, &report);
-        if self
-            .projected
-            .worker(key)
-            .is_some_and(|worker| worker.fenced)
-        {
-            if report.unfence == Some(key) {
-                log::info!(worker = report.info.name; "worker unfenced: its old leases have expired");
-                self.push(Command::Unfence { worker: key });
-            }
-            return;
-        }
-        self.record_progress(key, report.active);
-        let cursor = self.projected.worker(key).map_or(0, |worker| worker.cursor);
-        for ended in report.ended {
-            if ended.number > cursor {
-                self.update_failures(key, ended.run, ended.end);
-                self.record_end(key, ended);
-            }
-        }
-        for run in report.absent {
-            let worker = self.projected.worker(key);
-            let is_assigned =
-                worker.is_some_and(|worker| worker.runs.get(&run.task) == Some(&run.number));
-            if is_assigned {
-                self.push(Command::EndRun {
-                    worker: key,
-                    number: 0,
-                    run,
-                    end: End::Absent,
-                    checkpoint: String::new(),
-                });
-            }
-        }
-    }
-
-    /// Records the end of a run, and logs if that ends the job.
-    fn record_end(&mut self, key: WorkerKey, ended: Ended) {
-        let Ended {
-            number,
-            run,
-            end,
-            checkpoint,
-        } = ended;
-        let job = run.task.job;
-        let name = self
-            .projected
-            .worker(key)
-            .map(|worker| worker.info.name.clone());
-        log::info!(job:% = format_args!("{job:016x}"), step = run.task.step, index = run.task.index,
-            run = run.number, worker = name.unwrap_or_default(); "run ended: {end:?}");
-        let state = |registry: &Registry| registry.job(job).map(|job| job.state);
-        let before = state(&self.projected);
-        self.push(Command::EndRun {
-            worker: key,
-            number,
-            run,
-            end,
-            checkpoint,
-        });
-        let after = state(&self.projected);
-        if before != after {
-            log::info!(job:% = format_args!("{job:016x}"); "job ended: {:?}", after.unwrap_or(State::Open));
-        }
-    }
-
-    /// Registers a new incarnation of a worker, and removes every other incarnation with the same
-    /// agent or name.
-    fn register(&mut self, info: &Info) -> Option<WorkerKey> {
-        let replaced = self.projected.related_workers(info);
-        for key in replaced {
-            self.remove_worker(key, Loss::Superseded);
-        }
-        let key = self.projected.next_worker();
-        log::info!(worker = info.name, key = key.0, rack = info.rack, domain = info.domain; "worker registered");
-        self.push(Command::RegisterWorker {
-            key,
-            info: info.clone(),
-        });
-        Some(key)
-    }
-
-    /// Removes a worker and ends its runs with their latest reported checkpoints.
-    fn remove_worker(&mut self, key: WorkerKey, loss: Loss) {
-        self.failing.remove(&key);
-        let observation = self.observations.remove(&key).unwrap_or_default();
-        let silent_ms = self.now.saturating_sub(observation.last_contact_ms);
-        let listed_ago_ms = self.now.saturating_sub(observation.listed_ms);
-        let runs = self
-            .projected
-            .worker(key)
-            .map_or(0, |worker| worker.runs.len());
-        let checkpoints = observation.progress.into_iter();
-        let checkpoints = checkpoints
-            .map(|(run, progress)| (run, progress.checkpoint))
-            .collect();
-        let name = self
-            .projected
-            .worker(key)
-            .map(|worker| worker.info.name.clone());
-        telemetry::WORKERS_REMOVED
-            .with_label_values(&[loss.label()])
-            .inc();
-        log::info!(worker = name.unwrap_or_default(), key = key.0, runs = runs, silent_ms = silent_ms,
-            listed_ago_ms = listed_ago_ms; "worker lost: {loss}");
-        self.push(Command::RemoveWorker {
-            worker: key,
-            checkpoints,
-        });
-    }
-
     /// Makes all decisions that are due, and returns the commands for the log since the last call.
     pub fn decide(&mut self, now: Millis, wall_now: Millis) -> Vec<Command> {
         self.now = self.now.max(now);
@@ -527,29 +338,6 @@
         }
     }
 
-    /// Declares workers lost whose leases must have expired.
-    fn remove_lost(&mut self) {
-        let now = self.now;
-        if now <= self.watched.next_loss_ms {
-            return;
-        }
-        let keys: Vec<WorkerKey> = self.projected.workers().map(|(key, _worker)| key).collect();
-        for key in keys {
-            let has_expired = self
-                .observations
-                .get(&key)
-                .is_none_or(|observation| now > observation.lease_end_ms);
-            if has_expired {
-                self.remove_worker(key, Loss::Silent);
-            }
-        }
-        let ends = self
-            .observations
-            .values()
-            .map(|observation| observation.lease_end_ms);
-        self.watched.next_loss_ms = ends.min().unwrap_or(Millis::MAX);
-    }
-
     /// Stops the remaining members of gangs that have lost a member.
     fn stop_broken(&mut self) {
         let mut broken = std::mem::take(&mut self.watched.ended);
--- a/src/flow/planner/pass.rs
+++ b/src/flow/planner/pass.rs
@@ -321,6 +321,7 @@
         self.observations.get(&key).is_some_and(|observation| {
             observation.responsive
                 && !observation.draining
+                && !self.has_predecessor(observation)
                 && self.now < observation.last_contact_ms + CONTACT_TIMEOUT_MS
                 && self.now >= observation.quarantined_until_ms
         })
--- a/src/flow/registry.rs
+++ b/src/flow/registry.rs
@@ -270,12 +270,18 @@
         self.names.named(name, incarnation)
     }
 
-    /// Finds the workers that share their name or their agent with a worker.
-    pub fn related_workers(&self, info: &Info) -> BTreeSet<WorkerKey> {
-        let same_name = self.names.incarnations(&info.name);
-        same_name
-            .chain(self.names.controlled(&info.instance))
-            .collect()
+    /// Returns the workers of an agent's instance: the current incarnation, and those before it whose
+    /// runs have not ended yet.
+    pub fn workers_of(&self, instance: &str) -> impl Iterator<Item = WorkerKey> {
+        self.names.controlled(instance)
+    }
+
+    /// Reports whether an incarnation was removed last at its agent, which has another one now.
+    pub fn is_replaced(&self, info: &Info) -> bool {
+        let last = self.last_incarnations.get(&info.instance);
+        last.is_some_and(|(name, incarnation)| {
+            *name == info.name && *incarnation == info.incarnation
+        }) && self.workers_of(&info.instance).next().is_some()
     }
 
     /// Builds what is not part of the encoded state.
--- a/src/flow/registry/names.rs
+++ b/src/flow/registry/names.rs
@@ -54,12 +54,6 @@
         same.map(|(_incarnation, key)| *key).min()
     }
 
-    /// Returns all incarnations of a name.
-    pub fn incarnations(&self, name: &str) -> impl Iterator<Item = WorkerKey> {
-        let named = self.by_name.get(name).into_iter().flatten();
-        named.map(|(_incarnation, key)| *key)
-    }
-
     /// Returns the workers that an agent controls.
     pub fn controlled(&self, instance: &str) -> impl Iterator<Item = WorkerKey> {
         self.by_instance
--- a/src/flow/registry/orders.rs
+++ b/src/flow/registry/orders.rs
@@ -6,12 +6,12 @@
 use crate::raft::Index;
 
 impl Registry {
-    /// Returns the worker that a poll is about: the incarnation that it names, or else the one
-    /// registered by the agent's instance.
+    /// Returns the worker that a poll is about: the incarnation that it names, or else the one that
+    /// the agent's instance has registered last.
     pub fn polled_worker(&self, poll: &Poll) -> Option<WorkerKey> {
         match &poll.worker {
             Some((name, incarnation)) => self.find_worker(name, *incarnation),
-            None => self.names.controlled(&poll.instance).min(),
+            None => self.workers_of(&poll.instance).max(),
         }
     }
 
