--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -34,6 +34,9 @@
 /// Time from a worker's deregistration until all of its runs have ended.
 const DEREGISTRATION_GRACE_MS: Millis = 1_500;
 
+/// Margin of the time that a run needs to stop, where a row of the listing cannot be read.
+const UNREADABLE_MARGIN_MS: Millis = 300;
+
 /// Number of unconfirmed attempts to start a run after which the run is stopped and reported as
 /// absent.
 const MAX_START_ATTEMPTS: u32 = 12;
@@ -345,10 +348,17 @@
     }
 
     /// Marks runs as absent whose stop was confirmed before the listing was requested and that appear
-    /// neither among the active nor among the ended runs.
+    /// neither among the active nor among the ended runs. A row that could not be read may stand for
+    /// a run that is still stopping, so the time of a stop must have passed as well then.
     fn find_absent(&mut self, sent_ms: Millis, listing: &Listing) {
+        let stop_ms = match listing.unreadable_rows {
+            0 => 0,
+            _ => self.options.bounds.stop_ms + UNREADABLE_MARGIN_MS,
+        };
         for (run, removal) in &self.removals {
-            let is_confirmed = removal.confirmed_ms.is_some_and(|at_ms| at_ms < sent_ms);
+            let is_confirmed = removal
+                .confirmed_ms
+                .is_some_and(|at_ms| at_ms.saturating_add(stop_ms) < sent_ms);
             let is_active = listing.active.iter().any(|active| active.run == *run);
             let has_ended = listing.ended.iter().any(|ended| ended.run == *run);
             if is_confirmed && !is_active && !has_ended && self.absent.insert(*run) {
--- a/src/flow/agent/order.rs
+++ b/src/flow/agent/order.rs
@@ -53,6 +53,8 @@
     pub clock_ms: Millis,
     pub active: Vec<Active>,
     pub ended: Vec<Ended>,
+    /// Number of rows that could not be read, each of which may stand for any run.
+    pub unreadable_rows: usize,
 }
 
 /// Outcome of a call to start a run.
--- a/tests/tests/flow/worker.rs
+++ b/tests/tests/flow/worker.rs
@@ -97,6 +97,7 @@
             clock_ms: self.clock_ms,
             active: active.collect(),
             ended: self.ended.clone(),
+            unreadable_rows: 0,
         }
     }
 
