Flow: sums of outside numbers stay at the end of their range

Cause: amounts, estimates, times of schedules, slack and readings of a worker's clock are named by callers, operators and workers, and were added and multiplied without checks: near the end of the range, debug builds panic, in a thread that then follows nothing any more, and release builds wrap. A wrapped due time lies in the past, and the occurrence of a job would start before its time; a wrapped need of accelerators fits any guarantee; a wrapped end of a lease lets all starts arrive too late.

Change: these sums and products saturate.

Measured: three tests fail before the change (`attempt to add with overflow` in job.rs and lease.rs, `attempt to multiply with overflow` in registry.rs) and pass after it: the sums of an amount and a specification, an agent with readings up to 2^64 - 1, and a planner with 36 pairs of sizes of jobs and workers from 0 to 2^64 - 1.

--- a/src/flow/agent/lease.rs
+++ b/src/flow/agent/lease.rs
@@ -46,8 +46,9 @@
     /// Stores a reading of the worker's clock if it is ahead of the estimate, or if the stored
     /// reading is old.
     pub(super) fn set_worker_clock(&mut self, now: Millis, clock_ms: Millis) {
-        let estimate =
-            |(clock_ms, read_ms): (Millis, Millis)| clock_ms + now.saturating_sub(read_ms);
+        let estimate = |(clock_ms, read_ms): (Millis, Millis)| {
+            clock_ms.saturating_add(now.saturating_sub(read_ms))
+        };
         if self
             .worker_clock
             .is_none_or(|clock| clock_ms > estimate(clock))
@@ -67,7 +68,8 @@
     /// Returns the latest possible end of a lease that started up to now, on the worker's clock.
     pub(super) fn max_lease_end_ms(&self, now: Millis) -> Option<Millis> {
         let (clock_ms, read_ms) = self.worker_clock?;
-        Some(clock_ms + now.saturating_sub(read_ms) + self.options.bounds.lease_ms())
+        let now_ms = clock_ms.saturating_add(now.saturating_sub(read_ms));
+        Some(now_ms.saturating_add(self.options.bounds.lease_ms()))
     }
 
     /// Sets whether the leader has fenced the worker. The lease of a fenced worker is not extended,
@@ -84,7 +86,7 @@
         if is_fenced && self.fence_end_ms.is_none() {
             self.fence_end_ms = self
                 .max_lease_end_ms(now)
-                .map(|end_ms| end_ms + FENCE_MARGIN_MS);
+                .map(|end_ms| end_ms.saturating_add(FENCE_MARGIN_MS));
         }
     }
 
--- a/src/flow/job.rs
+++ b/src/flow/job.rs
@@ -46,12 +46,13 @@
         }
     }
 
-    /// Returns the sum of two amounts.
+    /// Returns the sum of two amounts. This and the other sums and products of what callers, operators
+    /// and workers name stay at the end of the range where they would exceed it.
     pub fn plus(&self, other: &Self) -> Self {
         Self {
-            millicpus: self.millicpus + other.millicpus,
-            memory_mb: self.memory_mb + other.memory_mb,
-            accelerators: self.accelerators + other.accelerators,
+            millicpus: self.millicpus.saturating_add(other.millicpus),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
@@ -67,16 +68,17 @@
     /// Returns the amount multiplied by a factor.
     pub fn scaled(&self, times: u64) -> Self {
         Self {
-            millicpus: self.millicpus * times,
-            memory_mb: self.memory_mb * times,
-            accelerators: self.accelerators * times,
+            millicpus: self.millicpus.saturating_mul(times),
+            memory_mb: self.memory_mb.saturating_mul(times),
+            accelerators: self.accelerators.saturating_mul(times),
         }
     }
 
     /// Returns the size in millicores, with an accelerator counted as eight cores.
     pub fn weighted_millicpus(&self) -> u64 {
         const ACCELERATOR_MILLICPUS: u64 = 8_000;
-        self.millicpus + self.accelerators * ACCELERATOR_MILLICPUS
+        let accelerators = self.accelerators.saturating_mul(ACCELERATOR_MILLICPUS);
+        self.millicpus.saturating_add(accelerators)
     }
 }
 
@@ -162,13 +164,14 @@
     /// Returns the due time of an occurrence in milliseconds since 1970; zero without a schedule.
     pub fn due_ms(&self, occurrence: u32) -> Millis {
         self.schedule.map_or(0, |schedule| {
-            schedule.start_ms + schedule.interval_ms * u64::from(occurrence)
+            let after_ms = schedule.interval_ms.saturating_mul(u64::from(occurrence));
+            schedule.start_ms.saturating_add(after_ms)
         })
     }
 
     /// Returns the number of accelerators of the step that needs most of them.
     pub fn peak_accelerators(&self) -> u64 {
-        let total = |step: &Step| step.per_task.accelerators * u64::from(step.count);
+        let total = |step: &Step| step.per_task.scaled(u64::from(step.count)).accelerators;
         self.steps.iter().map(total).max().unwrap_or(0)
     }
 
@@ -181,7 +184,7 @@
                 .iter()
                 .filter_map(|dependency| ends_ms.get(*dependency as usize));
             let start_ms = start_ms.copied().max().unwrap_or(0);
-            ends_ms.push(start_ms + step.estimate_ms);
+            ends_ms.push(start_ms.saturating_add(step.estimate_ms));
         }
         ends_ms.into_iter().max().unwrap_or(0)
     }
--- a/src/flow/place.rs
+++ b/src/flow/place.rs
@@ -158,14 +158,18 @@
     }
     capacities.sort_by_key(|(candidate, _capacity)| candidate.sort_key(&candidate.free));
     let mut workers = Vec::new();
-    let mut waste = 0;
+    let mut waste = 0_u64;
     for (candidate, capacity) in capacities {
         let count = capacity.min(request.tasks - workers.len() as u32);
         workers.extend(std::iter::repeat_n(candidate.key, count as usize));
         let free_after = candidate
             .free
             .minus(&request.step.per_task.scaled(u64::from(count)));
-        waste += free_after.accelerators + u64::from(candidate.has_recent_failure) * 1_000;
+        let failure = u64::from(candidate.has_recent_failure) * 1_000;
+        waste = free_after
+            .accelerators
+            .saturating_add(failure)
+            .saturating_add(waste);
         if workers.len() as u32 == request.tasks {
             return Some((workers, waste));
         }
@@ -244,7 +248,7 @@
     let mut cost = 0;
     for _task in 0..request.tasks {
         let (best_cost, key) = state.assign()?;
-        cost += best_cost;
+        cost = best_cost.saturating_add(cost);
         workers.push(key);
     }
     let stopped = victims.all.iter().zip(&state.is_stopped);
@@ -389,7 +393,8 @@
             index += 1;
         }
     }
-    let cost = chosen.iter().map(|(cost, _index, _amount)| cost).sum();
+    let costs = chosen.iter().map(|(cost, _index, _amount)| *cost);
+    let cost = costs.fold(0, u64::saturating_add);
     Some((
         cost,
         chosen
--- a/src/flow/planner/pass.rs
+++ b/src/flow/planner/pass.rs
@@ -176,7 +176,7 @@
     ) -> Option<(Vec<WorkerKey>, Vec<UnitId>)> {
         let job = self.projected.job(id.job)?;
         let (service, priority) = (&job.queue.service, job.queue.priority);
-        let estimated_end_ms = self.wall_now + step.estimate_ms;
+        let estimated_end_ms = self.wall_now.saturating_add(step.estimate_ms);
         let is_guaranteed = context.guaranteed_jobs.contains(&id.job);
         let may_reclaim =
             is_guaranteed || priority == 0 && estimated_end_ms <= job.due_ms(id.occurrence);
@@ -358,14 +358,16 @@
             } else {
                 ran_ms
             };
-            let cores = step.per_task.weighted_millicpus() * held.len() as u64 / 1_000;
+            let cores = step.per_task.scaled(held.len() as u64).weighted_millicpus() / 1_000;
             // Urgent units, and units that have been started often, cost more to stop.
             let factor = URGENCY_COST_FACTOR >> job.queue.priority.min(CHEAPEST_PRIORITY)
                 << unit.last_run.min(MAX_RUN_COST_DOUBLINGS);
             let cost = if is_stopping {
                 1
             } else {
-                (lost_ms + bounds.stop_cost_ms(step.checkpoints)) * cores * factor
+                (lost_ms + bounds.stop_cost_ms(step.checkpoints))
+                    .saturating_mul(cores)
+                    .saturating_mul(factor)
             };
             victims.push(Victim {
                 unit: id,
--- a/src/flow/planner/reserve.rs
+++ b/src/flow/planner/reserve.rs
@@ -106,7 +106,10 @@
             let Some(running) = &state.running else {
                 continue;
             };
-            let end_ms = (running.placed_ms + step.estimate_ms).max(self.wall_now + 1);
+            let end_ms = running
+                .placed_ms
+                .saturating_add(step.estimate_ms)
+                .max(self.wall_now + 1);
             for member in running.members.iter().filter(|member| member.end.is_none()) {
                 ends.push((end_ms, member.worker, step.per_task));
             }
--- a/src/flow/registry.rs
+++ b/src/flow/registry.rs
@@ -188,9 +188,11 @@
     /// Returns the time by which an occurrence should be complete, on the leader's wall clock.
     pub fn due_ms(&self, occurrence: u32) -> Millis {
         let start_ms = self.accepted_ms.max(self.spec.due_ms(occurrence));
+        let path_ms = self.spec.critical_path_ms();
+        let slack_ms = path_ms.saturating_mul(self.queue.slack_percent) / 100;
         start_ms
-            + self.spec.critical_path_ms() * self.queue.slack_percent / 100
-            + self.queue.target_ms
+            .saturating_add(slack_ms)
+            .saturating_add(self.queue.target_ms)
     }
 }
 
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -24,6 +24,8 @@
 mod limit;
 #[path = "tests/membership.rs"]
 mod membership;
+#[path = "tests/numbers.rs"]
+mod numbers;
 #[path = "tests/operators.rs"]
 mod operators;
 #[path = "tests/raft.rs"]
