--- a/tests/tests/numbers.rs
+++ b/tests/tests/numbers.rs
@@ -1,4 +1,5 @@
-//! Numbers near the end of their range neither wrap nor panic.
+//! Numbers near the end of their range and bytes of other writers: neither wraps, panics nor allocates
+//! without bound.
 
 use bytes::Bytes;
 use oriolereel::flow::agent::{Announcement, Core, Listing};
@@ -8,6 +9,10 @@
 use oriolereel::flow::planner::{Options, Planner};
 use oriolereel::flow::registry::{Info, Registry};
 use oriolereel::flow::{Run, Task, WorkerKey};
+use oriolereel::{codec, wire};
+use proptest::prelude::*;
+
+use crate::support;
 
 const MAX: u64 = u64::MAX;
 
@@ -184,3 +189,30 @@
         assert!(core.report(1_500).is_some(), "{clock_ms}");
     }
 }
+
+#[test]
+fn bytes_that_name_a_large_length_are_refused() {
+    let large = [&[253][..], &[0xff; 8]].concat();
+    codec::decode::<Bytes>("bytes", &large).expect_err("too many bytes");
+    codec::decode::<Vec<u64>>("numbers", &large).expect_err("too many numbers");
+    for tag in 0..=u8::MAX {
+        let frame = [&[tag][..], &large, &large].concat();
+        assert!(wire::decode(&frame).is_err(), "frame {tag}");
+    }
+}
+
+proptest! {
+    #![proptest_config(support::proptest_config(2_000))]
+
+    #[test]
+    fn any_bytes_are_decoded_or_refused(mut data in prop::collection::vec(any::<u8>(), 0..200), tag in 0_u8..40) {
+        let _decoded = wire::decode(&data);
+        let _decoded = codec::decode::<Registry>("registry", &data);
+        if let Some(first) = data.first_mut() {
+            *first = tag;
+        }
+        if let Ok(frame) = wire::decode(&data) {
+            prop_assert!(wire::encode(&frame).is_ok());
+        }
+    }
+}
