Serve: a panic costs its request and not the handler thread

Cause: a handler thread that panicked was gone, and the pool, which counts it as started, never replaced it. After as many such requests as there are threads (two on an agent) the process lived on and answered nothing any more.

Change: a panic ends the request, which is answered with 500, and is logged; the thread goes on.

--- a/src/serve/pool.rs
+++ b/src/serve/pool.rs
@@ -1,5 +1,6 @@
 //! Pool of handler threads, which are started on demand up to a limit.
 
+use std::panic::{self, AssertUnwindSafe};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicIsize, AtomicUsize, Ordering};
 use std::thread;
@@ -104,8 +105,16 @@
     /// Answers queued requests.
     fn run(&self) {
         for Exchange { request, answer } in &self.queue {
-            // Sending fails if the client has disconnected.
-            drop(answer.send(route(&self.gate, &*self.handler, &request)));
+            // A panic costs its request, which is answered with an error, and not the thread: the pool
+            // does not start another one in its place.
+            let handle = || route(&self.gate, &*self.handler, &request);
+            match panic::catch_unwind(AssertUnwindSafe(handle)) {
+                // Sending fails if the client has disconnected.
+                Ok(response) => drop(answer.send(response)),
+                Err(_panic) => {
+                    log::error!(path = request.uri().path(); "request handler panicked");
+                }
+            }
             self.idle.fetch_add(1, Ordering::SeqCst);
         }
     }
--- a/tests/tests/serve.rs
+++ b/tests/tests/serve.rs
@@ -167,3 +167,39 @@
         }
     }
 }
+
+/// Panics at every request but those for `/sound`.
+struct Fragile;
+
+impl serve::Handler for Fragile {
+    fn max_body_bytes(&self) -> usize {
+        0
+    }
+
+    fn handle(&self, request: &serve::Request) -> serve::Response {
+        assert_eq!(
+            request.uri().path(),
+            "/sound",
+            "a request that cannot be handled"
+        );
+        serve::text(200, "sound")
+    }
+}
+
+#[test]
+fn requests_that_panic_leave_the_threads_for_the_others() {
+    let addr = serve::start(dev::loopback(0), 2, Arc::default(), Arc::new(Fragile));
+    let addr = addr.expect("a free port");
+    let mut stream = TcpStream::connect(addr).expect("a connection");
+    let timeout = Some(Duration::from_secs(5));
+    stream.set_read_timeout(timeout).expect("a timeout");
+    let mut send = |path: &str| {
+        let request = format!("GET {path} HTTP/1.1\r\nHost: h\r\n\r\n");
+        stream.write_all(request.as_bytes()).expect("sent");
+        read_answer(&mut stream).0
+    };
+    for _request in 0..5 {
+        assert_eq!(send("/odd"), 500);
+    }
+    assert_eq!(send("/sound"), 200);
+}
