Tests: events in the workers' lives in the world of virtual time

Workers start again under their name, leave with or without an acknowledgement, fall silent and are lost; what an earlier life says arrives late, and another writer announces workers that do not exist.

--- a/tests/tests/flow.rs
+++ b/tests/tests/flow.rs
@@ -7,8 +7,14 @@
 mod action;
 #[path = "flow/agent.rs"]
 mod agent;
+#[path = "flow/call.rs"]
+mod call;
 #[path = "flow/leader.rs"]
 mod leader;
+#[path = "flow/life.rs"]
+mod life;
+#[path = "flow/lives.rs"]
+mod lives;
 #[path = "flow/oracle.rs"]
 mod oracle;
 #[path = "flow/place.rs"]
@@ -33,7 +39,10 @@
 }
 
 fn run_with(bounds: Bounds, workers: usize, seed: u64, actions: &[action::Action]) -> Vec<String> {
-    let mut world = world::World::new(workers, seed, bounds);
+    run_in(world::World::new(workers, seed, bounds), actions)
+}
+
+fn run_in(mut world: world::World, actions: &[action::Action]) -> Vec<String> {
     for _step in 0..40 {
         world.step();
     }
--- a/tests/tests/flow/action.rs
+++ b/tests/tests/flow/action.rs
@@ -2,6 +2,8 @@
 
 use proptest::prelude::*;
 
+use super::life::{Deregistration, Event};
+
 /// An action. Numbers select a job, agent or worker, modulo their count.
 #[derive(Clone, Debug)]
 pub enum Action {
@@ -23,11 +25,12 @@
     SuspendMachine(usize),
     NewLeader,
     DrainWorker(usize),
+    Life(usize, Event),
     /// Lets a number of steps of virtual time pass.
     AdvanceSteps(u32),
 }
 
-pub fn actions() -> impl Strategy<Value = Vec<Action>> {
+fn action() -> impl Strategy<Value = Action> {
     let submit = (
         1..6u32,
         0..4u32,
@@ -46,7 +49,7 @@
                 fails: failure == 0,
             },
         );
-    let action = prop_oneof![
+    prop_oneof![
         6 => submit,
         2 => (0..64usize).prop_map(Action::Cancel),
         2 => (0..64usize).prop_map(Action::KillAgent),
@@ -56,6 +59,29 @@
         1 => Just(Action::NewLeader),
         1 => (0..64usize).prop_map(Action::DrainWorker),
         9 => (1..40u32).prop_map(Action::AdvanceSteps),
+    ]
+}
+
+pub fn actions() -> impl Strategy<Value = Vec<Action>> {
+    prop::collection::vec(action(), 1..60)
+}
+
+/// The same actions in the same proportions, with events in the workers' lives among them.
+pub fn actions_with_lives() -> impl Strategy<Value = Vec<Action>> {
+    let deregistration = prop::sample::select(Deregistration::ALL.to_vec());
+    let leave =
+        (deregistration, any::<bool>()).prop_map(|(deregistration, keeps_name)| Event::Leave {
+            deregistration,
+            keeps_name,
+        });
+    let event = prop_oneof![
+        3 => Just(Event::Restart),
+        3 => leave,
+        2 => Just(Event::LateAnnouncement),
+        2 => Just(Event::FalseAnnouncement),
+        2 => any::<bool>().prop_map(|executes| Event::Silence { executes }),
+        1 => Just(Event::Loss),
     ];
-    prop::collection::vec(action, 1..60)
+    let life = (0..64usize, event).prop_map(|(pick, event)| Action::Life(pick, event));
+    prop::collection::vec(prop_oneof![5 => action(), 1 => life], 1..60)
 }
--- /dev/null
+++ b/tests/tests/flow/life.rs
@@ -0,0 +1,219 @@
+//! Events in the workers' lives: starts under the same name, planned ends, silences and losses.
+
+use oriolereel::flow::agent::Announcement;
+
+use super::worker::Worker;
+use super::world::{Message, World};
+
+#[derive(Clone, Copy, Debug)]
+pub enum Event {
+    /// The worker ends without a word and starts again under its name. Its first announcement comes
+    /// later than the first calls.
+    Restart,
+    /// The worker drains, deregisters and ends. Then another one starts on the machine, or the same.
+    Leave {
+        deregistration: Deregistration,
+        keeps_name: bool,
+    },
+    /// The worker sends an announcement that arrives seconds later, maybe after its end.
+    LateAnnouncement,
+    /// Another writer announces a worker that does not exist at the agent.
+    FalseAnnouncement,
+    /// The worker runs on but answers no call for some seconds.
+    Silence {
+        /// Whether it executes the calls.
+        executes: bool,
+    },
+    /// The worker ends without a word, and no other one starts on its machine.
+    Loss,
+}
+
+/// What becomes of a deregistration. A worker without an acknowledgement ends some seconds later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Deregistration {
+    Acknowledged,
+    Unacknowledged,
+    /// It arrives seconds later, maybe after the end of its sender.
+    Late,
+}
+
+impl Deregistration {
+    pub const ALL: [Self; 3] = [Self::Acknowledged, Self::Unacknowledged, Self::Late];
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+enum Stage {
+    #[default]
+    Up,
+    /// Draining, until it deregisters.
+    Draining(u64, Deregistration),
+    /// Deregistered, until it ends.
+    Ending(u64),
+    /// Ended, until another worker starts on the machine, if any.
+    Over(Option<u64>),
+}
+
+/// State of a worker in its life.
+#[derive(Debug, Default)]
+pub struct Life {
+    stage: Stage,
+    /// Time of the first announcement.
+    announces_from_ms: u64,
+    /// End of a silence, and whether calls are executed in it.
+    silent_until_ms: u64,
+    executes_silently: bool,
+    /// Whether the next worker on the machine has the same name.
+    keeps_name: bool,
+}
+
+impl Life {
+    pub fn is_up(&self) -> bool {
+        matches!(self.stage, Stage::Up)
+    }
+
+    pub fn is_over(&self) -> bool {
+        matches!(self.stage, Stage::Over(_next_ms))
+    }
+
+    fn is_lost(&self) -> bool {
+        matches!(self.stage, Stage::Over(None))
+    }
+
+    pub fn executes(&self, now: u64) -> bool {
+        !self.is_over() && (now >= self.silent_until_ms || self.executes_silently)
+    }
+
+    fn answers(&self, now: u64) -> bool {
+        !self.is_over() && now >= self.silent_until_ms
+    }
+
+    pub fn announces(&self, now: u64) -> bool {
+        self.answers(now) && now >= self.announces_from_ms
+    }
+}
+
+impl World {
+    pub fn perform_event(&mut self, machine: usize, event: Event) {
+        let now = self.now;
+        let is_over = self.workers[machine].life.is_over();
+        if now < self.agents[machine].suspended_until_ms
+            || is_over && !matches!(event, Event::FalseAnnouncement)
+        {
+            return;
+        }
+        match event {
+            Event::Restart => {
+                let next_ms = now + self.random_below(1_000);
+                self.workers[machine].life.keeps_name = true;
+                self.end_worker(machine, Some(next_ms));
+            }
+            Event::Leave {
+                deregistration,
+                keeps_name,
+            } => {
+                let until_ms = now + 500 + self.random_below(2_500);
+                let worker = &mut self.workers[machine];
+                if worker.life.is_up() {
+                    worker.draining = true;
+                    worker.life.keeps_name = keeps_name;
+                    worker.life.stage = Stage::Draining(until_ms, deregistration);
+                }
+            }
+            Event::LateAnnouncement => {
+                let announcement = Box::new(self.workers[machine].announce(machine));
+                let message = Message::Announcement(machine, announcement);
+                self.send_late(message);
+            }
+            Event::FalseAnnouncement => {
+                let mut other = Worker::new(machine, self.workers[machine].incarnation + 1);
+                other.name = format!("w{machine}-false-{now}");
+                self.announce(machine, other.announce(machine));
+            }
+            Event::Silence { executes } => {
+                let until_ms = now + 1_000 + self.random_below(8_000);
+                let life = &mut self.workers[machine].life;
+                life.silent_until_ms = until_ms;
+                life.executes_silently = executes;
+            }
+            Event::Loss => {
+                let workers = self.workers.iter();
+                if workers.filter(|worker| worker.life.is_lost()).count() < self.spare {
+                    self.end_worker(machine, None);
+                }
+            }
+        }
+    }
+
+    /// Lets a worker deregister, end or start again when its time has come.
+    pub fn run_life(&mut self, machine: usize) {
+        let now = self.now;
+        let worker = &self.workers[machine];
+        match worker.life.stage {
+            Stage::Draining(until_ms, deregistration) if now >= until_ms => {
+                let (name, incarnation) = (worker.name.clone(), worker.incarnation);
+                let is_received = if deregistration == Deregistration::Late {
+                    self.send_late(Message::Deregistration(machine, name, incarnation));
+                    false
+                } else {
+                    self.deregister(machine, &name, incarnation)
+                };
+                let is_acknowledged = is_received && deregistration == Deregistration::Acknowledged;
+                let end_ms = if is_acknowledged {
+                    now
+                } else {
+                    now + 1_000 + self.random_below(6_000)
+                };
+                self.workers[machine].life.stage = Stage::Ending(end_ms);
+            }
+            Stage::Ending(until_ms) if now >= until_ms => {
+                let next_ms = now + self.random_below(2_000);
+                self.end_worker(machine, Some(next_ms));
+            }
+            Stage::Over(Some(next_ms)) if now >= next_ms => {
+                let mut next = Worker::new(machine, worker.incarnation + 1);
+                if worker.life.keeps_name {
+                    next.name = worker.name.clone();
+                }
+                next.life.announces_from_ms = now + self.random_below(4_000);
+                self.workers[machine] = next;
+            }
+            _ => {}
+        }
+    }
+
+    fn end_worker(&mut self, machine: usize, next_ms: Option<u64>) {
+        let worker = &mut self.workers[machine];
+        worker.executions.clear();
+        worker.life.stage = Stage::Over(next_ms);
+    }
+
+    /// Sends a message that arrives 2 to 12 s later.
+    fn send_late(&mut self, message: Message) {
+        let at_ms = self.now + 2_000 + self.random_below(10_000);
+        self.messages.push((at_ms, message));
+    }
+
+    /// Returns what a worker answers to a call, unless it is silent.
+    pub fn answer<T>(&self, machine: usize, answer: T) -> Option<T> {
+        let is_answered = self.workers[machine].life.answers(self.now);
+        is_answered.then_some(answer)
+    }
+
+    /// Delivers an announcement to an agent, unless the agent is down.
+    pub fn announce(&mut self, machine: usize, announcement: Announcement) {
+        let agent = &mut self.agents[machine];
+        if self.now >= agent.down_until_ms {
+            agent.core.on_announcement(self.now, announcement);
+        }
+    }
+
+    /// Delivers a deregistration to an agent. Returns false if the agent is down.
+    pub fn deregister(&mut self, machine: usize, name: &str, _incarnation: u64) -> bool {
+        let agent = &mut self.agents[machine];
+        let is_up = self.now >= agent.down_until_ms;
+        if is_up {
+            agent.core.on_deregistered(self.now, name);
+        }
+        is_up
+    }
+}
--- /dev/null
+++ b/tests/tests/flow/lives.rs
@@ -0,0 +1,130 @@
+//! Tests of single events in the workers' lives.
+
+use oriolereel::flow::bounds::Bounds;
+use proptest::prelude::*;
+
+use super::action::{self, Action};
+use super::life::{Deregistration, Event};
+use super::world::World;
+use crate::support;
+
+/// Performs actions in a new world of four workers, of which one may be lost for good.
+fn run(seed: u64, actions: &[Action]) -> Vec<String> {
+    let bounds = Bounds {
+        stop_ms: 200,
+        ..Bounds::default()
+    };
+    let mut world = World::new(4, seed, bounds);
+    world.spare = 1;
+    super::run_in(world, actions)
+}
+
+proptest! {
+    #![proptest_config(support::proptest_config(60))]
+
+    #[test]
+    fn however_workers_live_each_task_runs_once_at_a_time_and_each_job_ends_as_expected(
+        seed in any::<u64>(),
+        actions in action::actions_with_lives(),
+    ) {
+        let violations = run(seed, &actions);
+        prop_assert!(violations.is_empty(), "{violations:#?}");
+    }
+}
+
+/// Steps after an event at which the machine's agent is killed, if it is.
+const KILLS: [Option<u32>; 4] = [None, Some(0), Some(4), Some(20)];
+
+/// Performs the events on each machine in turn while tasks run, in worlds with 200 seeds, with and
+/// without killed agents.
+fn check(events: &[Event]) {
+    let task = Action::Submit {
+        tasks: 3,
+        accelerators: 2,
+        gang: false,
+        second_step: false,
+        urgent: false,
+        fails: false,
+    };
+    let mut failures = Vec::new();
+    let mut counts = [0; KILLS.len()];
+    for (variant, kill) in KILLS.into_iter().enumerate() {
+        let mut actions = vec![task.clone(), task.clone(), task.clone()];
+        actions.push(Action::AdvanceSteps(20));
+        for machine in 0..4 {
+            actions.push(task.clone());
+            actions.extend(events.iter().map(|event| Action::Life(machine, *event)));
+            if let Some(steps) = kill {
+                actions.extend([Action::AdvanceSteps(steps), Action::KillAgent(machine)]);
+            }
+            actions.extend([Action::AdvanceSteps(60), task.clone()]);
+            actions.push(Action::AdvanceSteps(60));
+        }
+        for seed in 1..=200 {
+            if let Some(violation) = run(seed, &actions).first() {
+                counts[variant] += 1;
+                failures.push(format!("{kill:?}, seed {seed}: {violation}"));
+            }
+        }
+    }
+    assert!(
+        failures.is_empty(),
+        "failures of 200 seeds with the agent killed after {KILLS:?} steps: {counts:?}\n{}",
+        failures.join("\n")
+    );
+}
+
+#[test]
+fn a_worker_that_starts_again_under_its_name_runs_no_task_that_runs_elsewhere() {
+    check(&[Event::Restart]);
+}
+
+#[test]
+fn the_tasks_of_a_worker_that_has_left_start_elsewhere() {
+    check(&[leave(Deregistration::Acknowledged, false)]);
+}
+
+#[test]
+fn a_deregistration_without_acknowledgement_ends_no_run() {
+    check(&[leave(Deregistration::Unacknowledged, false)]);
+}
+
+#[test]
+fn a_late_deregistration_of_an_earlier_life_ends_no_run_of_the_current_one() {
+    check(&[leave(Deregistration::Late, true)]);
+}
+
+#[test]
+fn a_late_announcement_of_an_earlier_life_ends_no_run_of_the_current_one() {
+    check(&[
+        Event::LateAnnouncement,
+        leave(Deregistration::Acknowledged, false),
+    ]);
+}
+
+#[test]
+fn an_announcement_of_a_worker_that_does_not_answer_ends_no_run() {
+    check(&[Event::FalseAnnouncement]);
+}
+
+#[test]
+fn tasks_of_a_worker_that_is_silent_for_seconds_run_once() {
+    check(&[Event::Silence { executes: false }]);
+}
+
+#[test]
+fn tasks_of_a_worker_whose_answers_are_lost_for_seconds_run_once() {
+    check(&[Event::Silence { executes: true }]);
+}
+
+#[test]
+fn tasks_of_a_worker_lost_for_good_start_elsewhere() {
+    check(&[Event::Loss]);
+}
+
+fn leave(deregistration: Deregistration, keeps_name: bool) -> Event {
+    Event::Leave {
+        deregistration,
+        keeps_name,
+    }
+}
--- a/tests/tests/flow/oracle.rs
+++ b/tests/tests/flow/oracle.rs
@@ -70,7 +70,7 @@
     /// Checks the invariants that hold at all times: no task runs twice at a time, and no worker holds
     /// more than its capacity.
     pub fn check_workers(&mut self) {
-        let mut running: BTreeMap<Task, usize> = BTreeMap::new();
+        let mut running: BTreeMap<Task, (usize, bool)> = BTreeMap::new();
         let mut violations = Vec::new();
         for (machine, worker) in self.workers.iter().enumerate() {
             // A resumed machine continues for a moment before its agent sees that its grant has
@@ -86,9 +86,14 @@
                 if is_resuming {
                     continue;
                 }
-                if let Some(other) = running.insert(execution.run.task, machine) {
+                let entry = (machine, execution.is_late);
+                if let Some((other, is_late)) = running.insert(execution.run.task, entry) {
+                    let late = match is_late || execution.is_late {
+                        true => ", one of them started late",
+                        false => "",
+                    };
                     violations.push(format!(
-                        "{:?} runs on workers {other} and {machine}",
+                        "{:?} runs on workers {other} and {machine}{late}",
                         execution.run
                     ));
                 }
@@ -109,7 +114,8 @@
             agent.suspended_until_ms = agent.suspended_until_ms.min(self.now);
         }
         for machine in 0..self.workers.len() {
-            if self.workers[machine].draining {
+            let worker = &self.workers[machine];
+            if worker.draining && worker.life.is_up() {
                 let incarnation = self.workers[machine].incarnation + 1;
                 self.workers[machine] = Worker::new(machine, incarnation);
             }
--- a/tests/tests/flow/worker.rs
+++ b/tests/tests/flow/worker.rs
@@ -8,6 +8,8 @@
 use oriolereel::flow::registry::{End, Info};
 use oriolereel::flow::{Run, Task};
 
+use super::life::Life;
+
 /// Capacity of each worker.
 pub const CAPACITY: Amount = Amount {
     millicpus: 32_000,
@@ -23,6 +25,8 @@
     pub total_ms: u64,
     /// Whether the run ends as failed.
     pub fails: bool,
+    /// Whether the start was executed seconds after it was sent.
+    pub is_late: bool,
     /// Time at which a requested stop takes effect.
     pub stops_at_ms: Option<u64>,
 }
@@ -45,6 +49,7 @@
     /// Ends up to this number came before the lease last expired. An acknowledgement of them after
     /// that does not mean that the leader recorded them.
     pub last_expired_end: u64,
+    pub life: Life,
 }
 
 impl Worker {
@@ -62,6 +67,7 @@
             draining: false,
             sequence: 0,
             last_expired_end: 0,
+            life: Life::default(),
         }
     }
 
--- a/tests/tests/flow/world.rs
+++ b/tests/tests/flow/world.rs
@@ -3,17 +3,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
-use oriolereel::flow::agent::{Core, Effect, List, Listing, Outcome, Start, Stop};
+use oriolereel::flow::agent::{Announcement, Core, Effect, Outcome, Start, Stop};
 use oriolereel::flow::bounds::Bounds;
 use oriolereel::flow::catalog::{Account, Catalog, Queue};
 use oriolereel::flow::job::{Amount, Spec, Step};
-use oriolereel::flow::message::{Action as CallerAction, Answer, Ended, Orders, Report};
+use oriolereel::flow::message::{Action as CallerAction, Answer, Orders, Report};
 use oriolereel::flow::planner::{Options, Planner};
 use oriolereel::flow::registry::End;
 use oriolereel::flow::{JobId, Registry, Task};
 
 use super::action::Action;
-use super::worker::{CAPACITY, Execution, Worker};
+use super::worker::{CAPACITY, Worker};
 
 /// Virtual time of one step of the simulation.
 pub const STEP_MS: u64 = 50;
@@ -42,6 +42,9 @@
     /// Orders for the agent, with the time at which it sent its poll.
     Orders(usize, u64, Box<Orders>),
     Report(Box<Report>),
+    Announcement(usize, Box<Announcement>),
+    /// A deregistration, with the name and the incarnation of its sender.
+    Deregistration(usize, String, u64),
 }
 
 /// What the oracle expects of a job.
@@ -76,6 +79,8 @@
     /// Violations of invariants that the oracle has found.
     pub violations: Vec<String>,
     pub bounds: Bounds,
+    /// Number of workers that may be lost for good. Gangs fit into the others.
+    pub spare: usize,
 }
 
 impl World {
@@ -101,6 +106,7 @@
             failing_jobs: BTreeSet::new(),
             violations: Vec::new(),
             bounds,
+            spare: 0,
         };
         for machine in 0..workers {
             world.workers.push(Worker::new(machine, 1));
@@ -130,7 +136,7 @@
         world
     }
 
-    fn random_below(&mut self, limit: u64) -> u64 {
+    pub fn random_below(&mut self, limit: u64) -> u64 {
         self.rng ^= self.rng << 13;
         self.rng ^= self.rng >> 7;
         self.rng ^= self.rng << 17;
@@ -148,7 +154,7 @@
                 fails,
             } => {
                 // A gang that does not fit into the empty cluster would wait forever.
-                let total = self.workers.len() as u64 * CAPACITY.accelerators;
+                let total = (self.workers.len() - self.spare) as u64 * CAPACITY.accelerators;
                 let max_tasks = (total / accelerators) as u32;
                 let tasks = if *gang {
                     (*tasks).min(max_tasks)
@@ -213,7 +219,8 @@
             }
             Action::KillWorker(pick) => {
                 let machine = pick % self.workers.len();
-                if self.now < self.agents[machine].suspended_until_ms {
+                let is_over = self.workers[machine].life.is_over();
+                if is_over || self.now < self.agents[machine].suspended_until_ms {
                     return;
                 }
                 let incarnation = self.workers[machine].incarnation + 1;
@@ -239,6 +246,7 @@
                 let machine = pick % self.workers.len();
                 self.workers[machine].draining = true;
             }
+            Action::Life(pick, event) => self.perform_event(pick % self.workers.len(), *event),
             Action::AdvanceSteps(steps) => {
                 for _step in 0..*steps {
                     self.step();
@@ -281,6 +289,7 @@
         self.now += STEP_MS;
         for machine in 0..self.workers.len() {
             if self.now >= self.agents[machine].suspended_until_ms {
+                self.run_life(machine);
                 self.run_worker(machine);
                 self.run_agent(machine);
             }
@@ -343,9 +352,9 @@
         if now < self.agents[machine].down_until_ms {
             return;
         }
-        if now.is_multiple_of(500) {
+        if now.is_multiple_of(500) && self.workers[machine].life.announces(now) {
             let announcement = self.workers[machine].announce(machine);
-            self.agents[machine].core.on_announcement(now, announcement);
+            self.announce(machine, announcement);
         }
         if now >= self.agents[machine].next_list_ms {
             self.agents[machine].next_list_ms = now + 200;
@@ -395,39 +404,6 @@
         }
     }
 
-    fn list(&mut self, machine: usize, list: &List) -> Option<Listing> {
-        let max_lease_ms = self.bounds.max_lease_ms;
-        let worker = &mut self.workers[machine];
-        if list.worker != worker.name || list.token < worker.token {
-            return None;
-        }
-        worker.token = list.token;
-        if let Some(expires_ms) = list.expires_ms {
-            worker.extend_lease(expires_ms, max_lease_ms);
-        }
-        let acknowledged: Vec<Ended> = worker
-            .ended
-            .iter()
-            .filter(|ended| ended.number <= list.cursor && ended.number > worker.last_expired_end)
-            .cloned()
-            .collect();
-        worker.ended.retain(|ended| ended.number > list.cursor);
-        for ended in acknowledged {
-            match ended.end {
-                End::Done => {
-                    self.acknowledged.insert(ended.run.task);
-                }
-                End::Failed => {
-                    let unit = self.unit(ended.run.task);
-                    let runs = self.failed.entry(unit).or_default();
-                    runs.insert(ended.run.number);
-                }
-                _ => {}
-            }
-        }
-        Some(self.workers[machine].listing())
-    }
-
     /// Makes calls to a worker. A call is executed at once, or seconds later without an answer.
     fn send(&mut self, machine: usize, effects: Vec<Effect>) {
         for effect in effects {
@@ -444,7 +420,8 @@
                     self.send(machine, effects);
                 }
                 Effect::Start(start) => {
-                    let outcome = self.start(machine, &start);
+                    let outcome = self.start(machine, &start, false);
+                    let outcome = self.answer(machine, outcome).unwrap_or(Outcome::Unknown);
                     let effects = self.agents[machine]
                         .core
                         .on_started(self.now, start.run, outcome);
@@ -458,6 +435,7 @@
                 }
                 Effect::Stop(stop) => {
                     let confirmed = self.stop(machine, &stop);
+                    let confirmed = self.answer(machine, confirmed).unwrap_or(false);
                     let effects = self.agents[machine]
                         .core
                         .on_stopped(self.now, stop.run, confirmed);
@@ -467,64 +445,6 @@
         }
     }
 
-    fn start(&mut self, machine: usize, start: &Start) -> Outcome {
-        let work_ms = 1_000 + self.random_below(6_000);
-        let fails = self.failing_jobs.contains(&start.run.task.job);
-        let max_lease_ms = self.bounds.max_lease_ms;
-        let worker = &mut self.workers[machine];
-        if start.worker != worker.name {
-            return Outcome::WrongWorker;
-        }
-        if start.token < worker.token {
-            return Outcome::Fenced;
-        }
-        worker.token = start.token;
-        if worker
-            .executions
-            .iter()
-            .any(|execution| execution.run == start.run)
-        {
-            return Outcome::Accepted;
-        }
-        let last_finished = worker
-            .last_finished
-            .get(&start.run.task)
-            .copied()
-            .unwrap_or(0);
-        if start.run.number <= last_finished {
-            return Outcome::Superseded;
-        }
-        if start.expires_ms <= worker.clock_ms {
-            return Outcome::Expired;
-        }
-        worker.extend_lease(start.expires_ms, max_lease_ms);
-        worker.executions.push(Execution {
-            run: start.run,
-            remaining_ms: work_ms,
-            total_ms: work_ms,
-            fails,
-            stops_at_ms: None,
-        });
-        self.check_start(start.run);
-        Outcome::Accepted
-    }
-
-    fn stop(&mut self, machine: usize, stop: &Stop) -> bool {
-        let (now, stop_ms) = (self.now, self.bounds.stop_ms);
-        let worker = &mut self.workers[machine];
-        if stop.worker != worker.name || stop.token < worker.token {
-            return false;
-        }
-        worker.token = stop.token;
-        let last_finished = worker.last_finished.entry(stop.run.task).or_default();
-        *last_finished = (*last_finished).max(stop.run.number);
-        let executions = worker.executions.iter_mut();
-        for execution in executions.filter(|execution| execution.run == stop.run) {
-            execution.stops_at_ms.get_or_insert(now + stop_ms);
-        }
-        true
-    }
-
     /// Delivers the messages that have arrived.
     fn deliver(&mut self) {
         let now = self.now;
@@ -536,7 +456,9 @@
             let receiver = match &message {
                 Message::Start(machine, ..)
                 | Message::Stop(machine, ..)
-                | Message::Orders(machine, ..) => Some(*machine),
+                | Message::Orders(machine, ..)
+                | Message::Announcement(machine, ..)
+                | Message::Deregistration(machine, ..) => Some(*machine),
                 Message::Report(_report) => None,
             };
             if receiver.is_some_and(|machine| now < self.agents[machine].suspended_until_ms) {
@@ -545,7 +467,7 @@
             }
             match message {
                 Message::Start(machine, start) => {
-                    self.start(machine, &start);
+                    self.start(machine, &start, true);
                 }
                 Message::Stop(machine, stop) => {
                     self.stop(machine, &stop);
@@ -558,6 +480,12 @@
                     }
                 }
                 Message::Report(report) => self.planner.report(now, *report),
+                Message::Announcement(machine, announcement) => {
+                    self.announce(machine, *announcement);
+                }
+                Message::Deregistration(machine, name, incarnation) => {
+                    self.deregister(machine, &name, incarnation);
+                }
             }
         }
     }
