--- a/tests/tests/flow/action.rs
+++ b/tests/tests/flow/action.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 
-use super::life::{Deregistration, Event};
+use super::life::{Deregistration, Event, Next};
 
 /// An action. Numbers select a job, agent or worker, modulo their count.
 #[derive(Clone, Debug)]
@@ -69,11 +69,11 @@
 /// The same actions in the same proportions, with events in the workers' lives among them.
 pub fn actions_with_lives() -> impl Strategy<Value = Vec<Action>> {
     let deregistration = prop::sample::select(Deregistration::ALL.to_vec());
-    let leave =
-        (deregistration, any::<bool>()).prop_map(|(deregistration, keeps_name)| Event::Leave {
-            deregistration,
-            keeps_name,
-        });
+    let next = prop::sample::select(Next::ALL.to_vec());
+    let leave = (deregistration, next).prop_map(|(deregistration, next)| Event::Leave {
+        deregistration,
+        next,
+    });
     let event = prop_oneof![
         3 => Just(Event::Restart),
         3 => leave,
--- a/tests/tests/flow/life.rs
+++ b/tests/tests/flow/life.rs
@@ -10,10 +10,10 @@
     /// The worker ends without a word and starts again under its name. Its first announcement comes
     /// later than the first calls.
     Restart,
-    /// The worker drains, deregisters and ends. Then another one starts on the machine, or the same.
+    /// The worker drains, deregisters and ends.
     Leave {
         deregistration: Deregistration,
-        keeps_name: bool,
+        next: Next,
     },
     /// The worker sends an announcement that arrives seconds later, maybe after its end.
     LateAnnouncement,
@@ -41,6 +41,19 @@
     pub const ALL: [Self; 3] = [Self::Acknowledged, Self::Unacknowledged, Self::Late];
 }
 
+/// The worker that starts on a machine after another has ended there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Next {
+    #[default]
+    OtherName,
+    SameName,
+    Nobody,
+}
+
+impl Next {
+    pub const ALL: [Self; 3] = [Self::OtherName, Self::SameName, Self::Nobody];
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 enum Stage {
     #[default]
@@ -49,8 +62,8 @@
     Draining(u64, Deregistration),
     /// Deregistered, until it ends.
     Ending(u64),
-    /// Ended, until another worker starts on the machine, if any.
-    Over(Option<u64>),
+    /// Ended, until the next worker starts on the machine, if any.
+    Over(u64),
 }
 
 /// State of a worker in its life.
@@ -62,8 +75,7 @@
     /// End of a silence, and whether calls are executed in it.
     silent_until_ms: u64,
     executes_silently: bool,
-    /// Whether the next worker on the machine has the same name.
-    keeps_name: bool,
+    next: Next,
 }
 
 impl Life {
@@ -75,10 +87,6 @@
         matches!(self.stage, Stage::Over(_next_ms))
     }
 
-    fn is_lost(&self) -> bool {
-        matches!(self.stage, Stage::Over(None))
-    }
-
     pub fn executes(&self, now: u64) -> bool {
         !self.is_over() && (now >= self.silent_until_ms || self.executes_silently)
     }
@@ -104,18 +112,19 @@
         match event {
             Event::Restart => {
                 let next_ms = now + self.random_below(1_000);
-                self.workers[machine].life.keeps_name = true;
-                self.end_worker(machine, Some(next_ms));
+                self.workers[machine].life.next = Next::SameName;
+                self.end_worker(machine, next_ms);
             }
             Event::Leave {
                 deregistration,
-                keeps_name,
+                next,
             } => {
                 let until_ms = now + 500 + self.random_below(2_500);
+                let may_end = next != Next::Nobody || self.may_lose_worker();
                 let worker = &mut self.workers[machine];
-                if worker.life.is_up() {
+                if worker.life.is_up() && may_end {
                     worker.draining = true;
-                    worker.life.keeps_name = keeps_name;
+                    worker.life.next = next;
                     worker.life.stage = Stage::Draining(until_ms, deregistration);
                 }
             }
@@ -136,9 +145,9 @@
                 life.executes_silently = executes;
             }
             Event::Loss => {
-                let workers = self.workers.iter();
-                if workers.filter(|worker| worker.life.is_lost()).count() < self.spare {
-                    self.end_worker(machine, None);
+                if self.may_lose_worker() {
+                    self.workers[machine].life.next = Next::Nobody;
+                    self.end_worker(machine, now);
                 }
             }
         }
@@ -167,11 +176,11 @@
             }
             Stage::Ending(until_ms) if now >= until_ms => {
                 let next_ms = now + self.random_below(2_000);
-                self.end_worker(machine, Some(next_ms));
+                self.end_worker(machine, next_ms);
             }
-            Stage::Over(Some(next_ms)) if now >= next_ms => {
+            Stage::Over(next_ms) if now >= next_ms && worker.life.next != Next::Nobody => {
                 let mut next = Worker::new(machine, worker.incarnation + 1);
-                if worker.life.keeps_name {
+                if worker.life.next == Next::SameName {
                     next.name = worker.name.clone();
                 }
                 next.life.announces_from_ms = now + self.random_below(4_000);
@@ -181,7 +190,13 @@
         }
     }
 
-    fn end_worker(&mut self, machine: usize, next_ms: Option<u64>) {
+    fn may_lose_worker(&self) -> bool {
+        let workers = self.workers.iter();
+        let lost = workers.filter(|worker| worker.life.next == Next::Nobody);
+        lost.count() < self.spare
+    }
+
+    fn end_worker(&mut self, machine: usize, next_ms: u64) {
         let worker = &mut self.workers[machine];
         worker.executions.clear();
         worker.life.stage = Stage::Over(next_ms);
--- a/tests/tests/flow/lives.rs
+++ b/tests/tests/flow/lives.rs
@@ -4,7 +4,7 @@
 use proptest::prelude::*;
 
 use super::action::{self, Action};
-use super::life::{Deregistration, Event};
+use super::life::{Deregistration, Event, Next};
 use super::world::World;
 use crate::support;
 
@@ -85,23 +85,28 @@
 
 #[test]
 fn the_tasks_of_a_worker_that_has_left_start_elsewhere() {
-    check(&[leave(Deregistration::Acknowledged, false)]);
+    check(&[leave(Deregistration::Acknowledged, Next::OtherName)]);
+}
+
+#[test]
+fn the_tasks_of_a_worker_that_has_left_start_elsewhere_without_another_on_its_machine() {
+    check(&[leave(Deregistration::Acknowledged, Next::Nobody)]);
 }
 
 #[test]
 fn a_deregistration_without_acknowledgement_ends_no_run() {
-    check(&[leave(Deregistration::Unacknowledged, false)]);
+    check(&[leave(Deregistration::Unacknowledged, Next::OtherName)]);
 }
 
 #[test]
 fn a_late_deregistration_of_an_earlier_life_ends_no_run_of_the_current_one() {
-    check(&[leave(Deregistration::Late, true)]);
+    check(&[leave(Deregistration::Late, Next::SameName)]);
 }
 
 #[test]
 fn a_late_announcement_of_an_earlier_life_ends_no_run_of_the_current_one() {
     let mut events = vec![Event::LateAnnouncement; 8];
-    events.push(leave(Deregistration::Acknowledged, false));
+    events.push(leave(Deregistration::Acknowledged, Next::OtherName));
     check(&events);
 }
 
@@ -125,9 +130,9 @@
     check(&[Event::Loss]);
 }
 
-fn leave(deregistration: Deregistration, keeps_name: bool) -> Event {
+fn leave(deregistration: Deregistration, next: Next) -> Event {
     Event::Leave {
         deregistration,
-        keeps_name,
+        next,
     }
 }
