--- a/tests/tests/flow/life.rs
+++ b/tests/tests/flow/life.rs
@@ -2,6 +2,7 @@
 
 use oriolereel::flow::agent::Announcement;
 
+use super::oracle::RESUME_SLACK_MS;
 use super::worker::Worker;
 use super::world::{Message, World};
 
@@ -87,6 +88,10 @@
         matches!(self.stage, Stage::Over(_next_ms))
     }
 
+    pub fn end_silence(&mut self) {
+        self.silent_until_ms = 0;
+    }
+
     pub fn executes(&self, now: u64) -> bool {
         !self.is_over() && (now >= self.silent_until_ms || self.executes_silently)
     }
@@ -140,9 +145,14 @@
             }
             Event::Silence { executes } => {
                 let until_ms = now + 1_000 + self.random_below(8_000);
-                let life = &mut self.workers[machine].life;
-                life.silent_until_ms = until_ms;
-                life.executes_silently = executes;
+                // Nothing could stop the runs of a worker that is silent after a suspension, in which
+                // its lease does not run out.
+                let resumed_ms = self.agents[machine].suspended_until_ms;
+                if now > resumed_ms + RESUME_SLACK_MS + self.bounds.stop_ms {
+                    let life = &mut self.workers[machine].life;
+                    life.silent_until_ms = until_ms;
+                    life.executes_silently = executes;
+                }
             }
             Event::Loss => {
                 if self.may_lose_worker() {
--- a/tests/tests/flow/world.rs
+++ b/tests/tests/flow/world.rs
@@ -233,6 +233,7 @@
             }
             Action::SuspendMachine(pick) => {
                 let machine = pick % self.agents.len();
+                self.workers[machine].life.end_silence();
                 self.agents[machine].suspended_until_ms =
                     self.now + 1_000 + self.random_below(16_000);
             }
