--- a/tests/tests/flow/life.rs
+++ b/tests/tests/flow/life.rs
@@ -139,7 +139,10 @@
                 self.send_late(message);
             }
             Event::FalseAnnouncement => {
-                let mut other = Worker::new(machine, self.workers[machine].incarnation + 1);
+                let current = self.workers[machine].incarnation;
+                let incarnations = [0, current + 1, current + 100];
+                let pick = self.random_below(incarnations.len() as u64) as usize;
+                let mut other = Worker::new(machine, incarnations[pick]);
                 other.name = format!("w{machine}-false-{now}");
                 self.announce(machine, other.announce(machine));
             }
