--- a/tests/tests/flow/call.rs
+++ b/tests/tests/flow/call.rs
@@ -83,7 +83,7 @@
             is_late,
             stops_at_ms: None,
         });
-        self.check_start(start.run);
+        self.check_start(start.run, is_late);
         Outcome::Accepted
     }
 
--- a/tests/tests/flow/life.rs
+++ b/tests/tests/flow/life.rs
@@ -213,6 +213,11 @@
         let worker = &mut self.workers[machine];
         worker.executions.clear();
         worker.life.stage = Stage::Over(next_ms);
+        if !self.calls_outlive_workers {
+            self.messages.retain(|(_at_ms, message)| {
+                !matches!(message, Message::Start(to, _) | Message::Stop(to, _) if *to == machine)
+            });
+        }
     }
 
     /// Sends a message that arrives 2 to 12 s later.
--- a/tests/tests/flow/lives.rs
+++ b/tests/tests/flow/lives.rs
@@ -9,13 +9,14 @@
 use crate::support;
 
 /// Performs actions in a new world of four workers, of which one may be lost for good.
-fn run(seed: u64, actions: &[Action]) -> Vec<String> {
+fn run(seed: u64, actions: &[Action], calls_outlive_workers: bool) -> Vec<String> {
     let bounds = Bounds {
         stop_ms: 200,
         ..Bounds::default()
     };
     let mut world = World::new(4, seed, bounds);
     world.spare = 1;
+    world.calls_outlive_workers = calls_outlive_workers;
     super::run_in(world, actions)
 }
 
@@ -27,7 +28,16 @@
         seed in any::<u64>(),
         actions in action::actions_with_lives(),
     ) {
-        let violations = run(seed, &actions);
+        let violations = run(seed, &actions, true);
+        prop_assert!(violations.is_empty(), "{violations:#?}");
+    }
+
+    #[test]
+    fn however_workers_live_after_all_calls_each_task_runs_once_at_a_time_and_each_job_ends_as_expected(
+        seed in any::<u64>(),
+        actions in action::actions_with_lives(),
+    ) {
+        let violations = run(seed, &actions, false);
         prop_assert!(violations.is_empty(), "{violations:#?}");
     }
 }
@@ -37,7 +47,7 @@
 
 /// Performs the events on each machine in turn while tasks run, in worlds with 200 seeds, with and
 /// without killed agents.
-fn check(events: &[Event]) {
+fn check_with(events: &[Event], calls_outlive_workers: bool) {
     let task = Action::Submit {
         tasks: 3,
         accelerators: 2,
@@ -66,7 +76,7 @@
                 actions.push(Action::AdvanceSteps(20));
             }
         }
-        if let Some(violation) = run(seed, &actions).first() {
+        if let Some(violation) = run(seed, &actions, calls_outlive_workers).first() {
             counts[variant] += 1;
             failures.push(format!("{kill:?}, seed {seed}: {violation}"));
         }
@@ -78,11 +88,25 @@
     );
 }
 
+fn check(events: &[Event]) {
+    check_with(events, true);
+}
+
 #[test]
 fn a_worker_that_starts_again_under_its_name_runs_no_task_that_runs_elsewhere() {
     check(&[Event::Restart]);
 }
 
+#[test]
+fn a_worker_that_starts_again_after_all_calls_runs_no_task_that_runs_elsewhere() {
+    check_with(&[Event::Restart], false);
+}
+
+#[test]
+fn a_late_deregistration_after_all_calls_ends_no_run_of_the_current_life() {
+    check_with(&[leave(Deregistration::Late, Next::SameName)], false);
+}
+
 #[test]
 fn the_tasks_of_a_worker_that_has_left_start_elsewhere() {
     check(&[leave(Deregistration::Acknowledged, Next::OtherName)]);
--- a/tests/tests/flow/oracle.rs
+++ b/tests/tests/flow/oracle.rs
@@ -15,6 +15,14 @@
 /// Time after a suspension in which an agent must have ordered to stop what was restarted on others.
 pub const RESUME_SLACK_MS: u64 = 400;
 
+fn describe_late(is_late: bool) -> &'static str {
+    if is_late {
+        ", by a start that was executed late"
+    } else {
+        ""
+    }
+}
+
 impl World {
     /// Returns the gang or single task for which failed attempts are counted.
     pub fn unit(&self, task: Task) -> (JobId, u32, u32) {
@@ -25,10 +33,11 @@
 
     /// Checks the invariants of the start of a run: its task is not done, its dependencies are done,
     /// and its unit has attempts left.
-    pub fn check_start(&mut self, run: Run) {
+    pub fn check_start(&mut self, run: Run, is_late: bool) {
         if self.acknowledged.contains(&run.task) {
+            let late = describe_late(is_late);
             self.violations.push(format!(
-                "{run:?} started after its task was acknowledged as done"
+                "{run:?} started after its task was acknowledged as done{late}"
             ));
         }
         let Some(expected) = self.jobs.get(&run.task.job) else {
@@ -88,10 +97,7 @@
                 }
                 let entry = (machine, execution.is_late);
                 if let Some((other, is_late)) = running.insert(execution.run.task, entry) {
-                    let late = match is_late || execution.is_late {
-                        true => ", one of them started late",
-                        false => "",
-                    };
+                    let late = describe_late(is_late || execution.is_late);
                     violations.push(format!(
                         "{:?} runs on workers {other} and {machine}{late}",
                         execution.run
--- a/tests/tests/flow/world.rs
+++ b/tests/tests/flow/world.rs
@@ -81,6 +81,8 @@
     pub bounds: Bounds,
     /// Number of workers that may be lost for good. Gangs fit into the others.
     pub spare: usize,
+    /// Whether a late call can be executed by the next worker of the same name.
+    pub calls_outlive_workers: bool,
 }
 
 impl World {
@@ -107,6 +109,7 @@
             violations: Vec::new(),
             bounds,
             spare: 0,
+            calls_outlive_workers: true,
         };
         for machine in 0..workers {
             world.workers.push(Worker::new(machine, 1));
@@ -408,7 +411,8 @@
     /// Makes calls to a worker. A call is executed at once, or seconds later without an answer.
     fn send(&mut self, machine: usize, effects: Vec<Effect>) {
         for effect in effects {
-            let is_late = self.random_below(12) == 0;
+            // A call to a worker that has ended is refused at once.
+            let is_late = self.random_below(12) == 0 && !self.workers[machine].life.is_over();
             let at_ms = self.now + 2_000 + self.random_below(10_000);
             match effect {
                 Effect::Start(start) if is_late => {
