--- a/tests/tests/flow/call.rs
+++ b/tests/tests/flow/call.rs
@@ -91,7 +91,7 @@
             is_late,
             stops_at_ms: None,
         });
-        self.check_start(start.run);
+        self.check_start(start.run, is_late);
         Outcome::Accepted
     }
 
--- a/tests/tests/flow/world.rs
+++ b/tests/tests/flow/world.rs
@@ -37,10 +37,8 @@
 
 /// A message in flight, with the index of the machine that receives it.
 pub enum Message {
-    /// A call that the worker has received but not executed yet. It ends with the incarnation that has
-    /// received it, as its connection does.
-    Start(usize, u64, Start),
-    Stop(usize, u64, Stop),
+    Start(usize, Start),
+    Stop(usize, Stop),
     /// Orders for the agent, with the time at which it sent its poll.
     Orders(usize, u64, Box<Orders>),
     Report(Box<Report>),
@@ -235,6 +233,7 @@
             }
             Action::SuspendMachine(pick) => {
                 let machine = pick % self.agents.len();
+                self.workers[machine].life.end_silence();
                 self.agents[machine].suspended_until_ms =
                     self.now + 1_000 + self.random_below(16_000);
             }
@@ -417,14 +416,13 @@
     /// Makes calls to a worker. A call is executed at once, or seconds later without an answer.
     fn send(&mut self, machine: usize, effects: Vec<Effect>) {
         for effect in effects {
-            let is_late = self.random_below(12) == 0;
+            // A call to a worker that has ended is refused at once.
+            let is_late = self.random_below(12) == 0 && !self.workers[machine].life.is_over();
             let at_ms = self.now + 2_000 + self.random_below(10_000);
-            let incarnation = self.workers[machine].incarnation;
             match effect {
                 Effect::Start(start) if is_late => {
                     let run = start.run;
-                    let message = Message::Start(machine, incarnation, *start);
-                    self.messages.push((at_ms, message));
+                    self.messages.push((at_ms, Message::Start(machine, *start)));
                     let effects =
                         self.agents[machine]
                             .core
@@ -441,8 +439,7 @@
                 }
                 Effect::Stop(stop) if is_late => {
                     let run = stop.run;
-                    let message = Message::Stop(machine, incarnation, stop);
-                    self.messages.push((at_ms, message));
+                    self.messages.push((at_ms, Message::Stop(machine, stop)));
                     let effects = self.agents[machine].core.on_stopped(self.now, run, false);
                     self.send(machine, effects);
                 }
@@ -479,15 +476,11 @@
                 continue;
             }
             match message {
-                Message::Start(machine, incarnation, start) => {
-                    if self.workers[machine].incarnation == incarnation {
-                        self.start(machine, &start, true);
-                    }
+                Message::Start(machine, start) => {
+                    self.start(machine, &start, true);
                 }
-                Message::Stop(machine, incarnation, stop) => {
-                    if self.workers[machine].incarnation == incarnation {
-                        self.stop(machine, &stop);
-                    }
+                Message::Stop(machine, stop) => {
+                    self.stop(machine, &stop);
                 }
                 Message::Orders(machine, sent_ms, orders) => {
                     let agent = &mut self.agents[machine];
