Disk thread: it no longer waits for the member, which waits for it

Cause: the queue of requests to the disk thread (4,096) and that of its completions (8,192) were both bounded. While a disk is full, requests collect; a member that has used up the first queue waits, and its calls collect (8,192). Once the disk had room, a turn of the member took up to 512 calls but one completion. With 13,313 requests sent and no completion taken, the disk thread waited for the member and the member for the disk thread, for ever, in a process that ran. Test first: "the disk thread does not take request 13314" after 5 s.

Change: completions are queued without limit, and a turn takes all that wait. Requests stay bounded.

Result: 20,000 requests sent before the first completion is taken pass.

--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -184,8 +184,7 @@
                 "truncated an incomplete record at the end of the log"
             );
         }
-        let (completions_sender, completions) = channel::bounded(CALL_QUEUE_CAPACITY);
-        let disk = disk::start(store, completions_sender)?;
+        let (disk, completions) = disk::start(store)?;
         let member_options = member::Options {
             name: options.name.clone(),
             place: options.place.clone(),
@@ -291,10 +290,13 @@
                 let more = inputs.calls.try_iter().take(MAX_BATCH_CALLS - 1);
                 member.handle_calls(std::iter::once(call).chain(more));
             },
-            recv(completions) -> completion => match completion {
-                Ok(completion) => member.handle_completion(completion),
-                Err(_closed) => return Err(disk_stopped()),
-            },
+            recv(completions) -> completion => {
+                let first = completion.map_err(|_closed| disk_stopped())?;
+                // A turn that takes many calls adds as many completions.
+                for completion in std::iter::once(first).chain(completions.try_iter()) {
+                    member.handle_completion(completion);
+                }
+            }
             recv(ticker) -> _ => {
                 member.tick();
                 inputs.state.update(member);
--- a/src/control/disk.rs
+++ b/src/control/disk.rs
@@ -54,20 +54,22 @@
     },
 }
 
-/// Starts the thread.
+/// Starts the thread. Returns the queues of requests and completions.
 ///
 /// # Errors
 /// `Internal` when no thread can be started.
 pub fn start<D: disk::Disk + Send + 'static>(
     store: store::Store<D>,
-    completed: channel::Sender<Completion>,
-) -> error::Result<channel::Sender<Request>> {
+) -> error::Result<(channel::Sender<Request>, channel::Receiver<Completion>)> {
     let (requests, queue) = channel::bounded(QUEUE_CAPACITY);
+    // The member waits while the queue of requests is full. If this thread waited for the member in
+    // turn, both would wait for ever.
+    let (completed, completions) = channel::unbounded();
     thread::Builder::new()
         .name("disk".to_owned())
         .spawn(move || run(store, &queue, &completed))
         .map_err(|err| error::Error::new(error::Kind::Internal, err.to_string()))?;
-    Ok(requests)
+    Ok((requests, completions))
 }
 
 fn run<D: disk::Disk>(
--- a/tests/tests/disk.rs
+++ b/tests/tests/disk.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
-use crossbeam::channel;
 use oriolereel::control::disk::{self, Completion, Request};
 use oriolereel::error;
 use oriolereel::raft::members::Members;
@@ -157,8 +157,7 @@
         let voters = BTreeMap::from([(1, member_addr(1))]);
         store::init(&mut shared_disk.clone(), 1, Some(Members::initial(voters))).expect(case.name);
         let (store, _recovered) = Store::open(shared_disk.clone(), 1).expect(case.name);
-        let (completion_sender, completions) = channel::bounded(16);
-        let requests = disk::start(store, completion_sender).expect(case.name);
+        let (requests, completions) = disk::start(store).expect(case.name);
         shared_disk.reject_writes(case.writes_to_reject, case.kept_bytes);
         for index in 2..5 {
             let request = Request::Write {
@@ -177,3 +176,36 @@
         assert_eq!(recovered.log.get(4), Some(&entry(4)), "{}", case.name);
     }
 }
+
+/// Number of requests that no queue between the member and its disk thread may hold back.
+const MANY_REQUESTS: u64 = 20_000;
+
+/// Time that the disk thread gets to take one request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+
+#[test]
+fn a_member_that_sends_requests_before_it_takes_completions_is_not_blocked_for_good() {
+    let shared_disk = SharedDisk::default();
+    let voters = BTreeMap::from([(1, member_addr(1))]);
+    store::init(&mut shared_disk.clone(), 1, Some(Members::initial(voters))).expect("a new disk");
+    let (store, _recovered) = Store::open(shared_disk.clone(), 1).expect("a readable disk");
+    shared_disk.reject_writes(2, 11);
+    let (requests, completions) = disk::start(store).expect("a thread");
+    for index in 2..2 + MANY_REQUESTS {
+        let request = Request::Write {
+            writes: vec![Write::Append(vec![entry(index)])],
+            after: Vec::new(),
+            last: Some((index, 1)),
+        };
+        let sent = requests.send_timeout(request, REQUEST_TIMEOUT);
+        assert!(
+            sent.is_ok(),
+            "the disk thread does not take request {index}"
+        );
+    }
+    for index in 2..2 + MANY_REQUESTS {
+        let completion = completions.recv_timeout(REQUEST_TIMEOUT);
+        let written = matches!(completion, Ok(Completion::Written { last: Some((at, 1)), .. }) if at == index);
+        assert!(written, "{index}: {completion:?}");
+    }
+}
