Tests: disks that are full for a time, from each operation on and on each member in turn

Another operator of a like system reports that changes stayed unanswered long after disks that were full in turn had room again.

--- a/tests/tests/disk.rs
+++ b/tests/tests/disk.rs
@@ -1,5 +1,8 @@
 //! The disk thread of a control member when the disk rejects writes for a time.
 
+#[path = "disk/outage.rs"]
+mod outage;
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
--- a/tests/tests/membership.rs
+++ b/tests/tests/membership.rs
@@ -28,8 +28,32 @@
     world.run_for(CALM_MS);
     world.check_size();
     world.check_acknowledged();
+    world.check_accepts();
 }
 
+/// Disks that are full for some seconds, with short pauses between, beside proposals.
+const FULL_IN_TURN: &[Step] = &[
+    Step::Propose,
+    Step::FillLeader(5_000),
+    Step::Propose,
+    Step::RunFor(5_200),
+    Step::Fill(0, 6_000),
+    Step::Propose,
+    Step::RunFor(6_200),
+    Step::Fill(1, 3_500),
+    Step::Propose,
+    Step::RunFor(3_700),
+    Step::Fill(2, 6_000),
+    Step::Propose,
+    Step::RunFor(8_000),
+    Step::FillLeader(6_000),
+    Step::RunFor(3_000),
+    Step::Propose,
+    Step::RunFor(3_200),
+    Step::Fill(1, 4_000),
+    Step::Propose,
+];
+
 struct Case {
     name: &'static str,
     machines: usize,
@@ -87,6 +111,18 @@
             losses: 1,
             steps: &[Step::Transfer, Step::ReplaceLeader, Step::RunFor(20_000)],
         },
+        Case {
+            name: "the disks of three machines are full in turn, the leader's first",
+            machines: 3,
+            losses: 1,
+            steps: FULL_IN_TURN,
+        },
+        Case {
+            name: "the disks of voters are full in turn, and a standby replaces them",
+            machines: 6,
+            losses: 2,
+            steps: FULL_IN_TURN,
+        },
         Case {
             name: "a machine is killed while it is suspended",
             machines: 7,
--- a/tests/tests/membership/check.rs
+++ b/tests/tests/membership/check.rs
@@ -3,8 +3,12 @@
 use oriolereel::raft::message::Payload;
 use oriolereel::raft::node::Role;
 
+use super::step::Step;
 use super::world::{Running, World};
 
+/// Time in which a calm group acknowledges a change; several round trips.
+const ACKNOWLEDGE_MS: u64 = 500;
+
 impl World {
     pub fn check(&mut self) {
         let holds_lease = |running: &Running| running.node.has_lease();
@@ -62,4 +66,15 @@
             assert_eq!(entry.payload, Payload::Command(content.clone()));
         }
     }
+
+    /// Checks that a change is acknowledged at once.
+    pub fn check_accepts(&mut self) {
+        let before = self.acknowledged.len();
+        self.apply(&Step::Propose);
+        self.run_for(ACKNOWLEDGE_MS);
+        assert!(
+            self.acknowledged.len() > before,
+            "a calm group acknowledges no change"
+        );
+    }
 }
--- a/tests/tests/membership/step.rs
+++ b/tests/tests/membership/step.rs
@@ -11,6 +11,9 @@
     /// Stops a machine for a time; messages to it wait.
     Freeze(u8, u64),
     FreezeLeader(u64),
+    /// Leaves no room on a machine's disk for a time; its writes wait.
+    Fill(u8, u64),
+    FillLeader(u64),
     /// Loses all messages from and to a machine for a time.
     Cut(u8, u64),
     /// Loses the messages from a machine, or to it, for a time.
@@ -48,6 +51,8 @@
         6 => Just(Step::Propose),
         2 => (machine.clone(), short()).prop_map(|(machine, ms)| Step::Freeze(machine, ms)),
         2 => short().prop_map(Step::FreezeLeader),
+        2 => (machine.clone(), short()).prop_map(|(machine, ms)| Step::Fill(machine, ms)),
+        2 => short().prop_map(Step::FillLeader),
         2 => (machine.clone(), short()).prop_map(|(machine, ms)| Step::Cut(machine, ms)),
         2 => (machine.clone(), any::<bool>(), short())
             .prop_map(|(machine, inbound, ms)| Step::CutOneWay { machine, inbound, ms }),
--- a/tests/tests/membership/world.rs
+++ b/tests/tests/membership/world.rs
@@ -1,11 +1,14 @@
 //! Machines of a control group, the network between them, and what must hold after each step.
 
-use std::collections::{BTreeMap, BTreeSet};
+#[path = "change.rs"]
+mod change;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use bytes::Bytes;
 use oriolereel::control::join::Requests;
-use oriolereel::control::size::{self, Goal, Group, Losses, Newcomer, Place};
+use oriolereel::control::size::{Goal, Losses, Place};
 use oriolereel::dev;
 use oriolereel::raft::members::Members;
 use oriolereel::raft::message::{Entry, Message, Payload};
@@ -42,6 +45,15 @@
     places: BTreeMap<Id, Place>,
     /// Index of each proposed entry that is not committed yet, with its term and content.
     proposed: BTreeMap<Index, (Term, Bytes)>,
+    /// Writes that wait for the disk, in order.
+    unwritten: VecDeque<Unwritten>,
+}
+
+struct Unwritten {
+    writes: Vec<Write>,
+    after: Vec<Message>,
+    /// Last entry of the writes.
+    last: Option<(Index, Term)>,
 }
 
 pub struct Machine {
@@ -53,6 +65,7 @@
     frozen_until_ms: u64,
     cut_in_until_ms: u64,
     cut_out_until_ms: u64,
+    full_until_ms: u64,
     /// Messages that arrived while the machine was frozen.
     inbox: Vec<Packet>,
     /// Identities that the machine had while its disk was whole.
@@ -134,6 +147,7 @@
             frozen_until_ms: 0,
             cut_in_until_ms: 0,
             cut_out_until_ms: 0,
+            full_until_ms: 0,
             inbox: Vec::new(),
             identities: Vec::new(),
             copied: None,
@@ -181,6 +195,7 @@
             requests: Requests::default(),
             places: BTreeMap::new(),
             proposed: BTreeMap::new(),
+            unwritten: VecDeque::new(),
         });
     }
 
@@ -207,6 +222,12 @@
                     self.freeze(leader, ms);
                 }
             }
+            Step::Fill(machine, ms) => self.fill(pick(machine), ms),
+            Step::FillLeader(ms) => {
+                if let Some(leader) = self.leader() {
+                    self.fill(leader, ms);
+                }
+            }
             Step::Cut(machine, ms) => {
                 self.cut(pick(machine), true, ms);
                 self.cut(pick(machine), false, ms);
@@ -255,6 +276,10 @@
         self.machines[at].frozen_until_ms = self.now + ms;
     }
 
+    fn fill(&mut self, at: usize, ms: u64) {
+        self.machines[at].full_until_ms = self.now + ms;
+    }
+
     fn cut(&mut self, at: usize, inbound: bool, ms: u64) {
         let until_ms = self.now + ms;
         if inbound {
@@ -324,6 +349,7 @@
             machine.frozen_until_ms = 0;
             machine.cut_in_until_ms = 0;
             machine.cut_out_until_ms = 0;
+            machine.full_until_ms = 0;
         }
     }
 
@@ -339,7 +365,7 @@
     fn round(&mut self) {
         for at in 0..self.machines.len() {
             let machine = &self.machines[at];
-            if machine.running.is_none() && self.now >= machine.starts_ms {
+            if machine.running.is_none() && self.now >= machine.starts_ms && !self.is_full(at) {
                 self.start(at);
             }
         }
@@ -353,6 +379,7 @@
             for packet in std::mem::take(&mut self.machines[at].inbox) {
                 self.receive(at, packet);
             }
+            self.write(at);
             self.with_node(at, Node::tick);
             self.change_membership(at);
             self.enrol(at);
@@ -363,6 +390,10 @@
         self.now < self.machines[at].frozen_until_ms
     }
 
+    fn is_full(&self, at: usize) -> bool {
+        self.now < self.machines[at].full_until_ms
+    }
+
     fn position(&self, addr: SocketAddr) -> Option<usize> {
         self.machines
             .iter()
@@ -420,17 +451,30 @@
             Write::Append(entries) => entries.last().map(|entry| (entry.index, entry.term)),
             _ => None,
         });
-        running
-            .store
-            .write(&effects.writes)
-            .expect("a healthy disk");
+        running.unwritten.push_back(Unwritten {
+            writes: effects.writes,
+            after: effects.after_write,
+            last,
+        });
         self.send(at, effects.messages);
-        self.send(at, effects.after_write);
         for entry in effects.committed {
             self.commit(at, entry);
         }
-        if let Some((index, term)) = last {
-            self.with_node(at, |node, now| node.mark_durable(now, index, term));
+        self.write(at);
+    }
+
+    /// Carries out the writes that wait, unless the disk is full.
+    fn write(&mut self, at: usize) {
+        while !self.is_full(at)
+            && let Some(running) = &mut self.machines[at].running
+            && let Some(unwritten) = running.unwritten.pop_front()
+        {
+            let written = running.store.write(&unwritten.writes);
+            written.expect("a healthy disk");
+            self.send(at, unwritten.after);
+            if let Some((index, term)) = unwritten.last {
+                self.with_node(at, |node, now| node.mark_durable(now, index, term));
+            }
         }
     }
 
@@ -502,80 +546,6 @@
         self.process(at, effects);
     }
 
-    /// Makes a leader propose the next membership change, as a control member does.
-    fn change_membership(&mut self, at: usize) {
-        let now = self.now;
-        let Some(running) = &mut self.machines[at].running else {
-            return;
-        };
-        if !running.node.can_change_members() || !running.node.has_lease() {
-            return;
-        }
-        running.requests.expire(now, running.node.members());
-        let standings = size::standings(&running.node, &running.places);
-        let newcomers = running.requests.newcomers();
-        let group = Group {
-            standings: &standings,
-            newcomers: &newcomers,
-            goal: Some(&self.goal),
-        };
-        let Some(change) = group.next_change() else {
-            return;
-        };
-        if let Ok((_index, effects)) = running.node.propose_change(now, &change) {
-            self.process(at, effects);
-        }
-    }
-
-    /// Lets a member without contact ask the leader to be in the group.
-    fn enrol(&mut self, at: usize) {
-        let (now, addr) = (self.now, self.machines[at].addr);
-        let Some(running) = &self.machines[at].running else {
-            return;
-        };
-        let is_due = now % ENROL_MS < ROUND_MS && !running.node.is_fresh();
-        let Some(leader) = self.leader().filter(|_leader| is_due) else {
-            return;
-        };
-        let is_linked = self.is_linked(at, leader) && self.is_linked(leader, at);
-        if leader == at || !is_linked || self.is_frozen(leader) {
-            return;
-        }
-        let (id, blank) = (running.id, running.node.log().is_blank());
-        let Some(leading) = &mut self.machines[leader].running else {
-            return;
-        };
-        let newcomer = Newcomer { id, addr };
-        let members = leading.node.members();
-        if leading
-            .requests
-            .admit(now, members, newcomer, blank)
-            .is_err()
-        {
-            self.rejoin(at);
-        }
-    }
-
-    /// Gives a machine a new identity, as the daemon does when the group has replaced its member.
-    fn rejoin(&mut self, at: usize) {
-        let addr = self.machines[at].addr;
-        let identity = self.new_identity(addr);
-        let machine = &mut self.machines[at];
-        let Some(running) = machine.running.take() else {
-            return;
-        };
-        // A newcomer whose addition was never committed has nothing that others rely on.
-        let is_own = machine.identities.contains(&running.id) && self.joined.contains(&running.id);
-        assert!(
-            !is_own || self.lost.contains(&running.id) || running.node.log().is_blank(),
-            "member {} was given up although it kept its log",
-            running.id
-        );
-        machine.disk = running.store.into_disk();
-        identity::renew(&mut machine.disk, identity, self.now, u64::MAX).expect("a healthy disk");
-        self.start(at);
-    }
-
     /// Returns the machine that leads under a lease and is not frozen.
     pub fn leader(&self) -> Option<usize> {
         let leads =
--- a/tests/tests/raft/fake.rs
+++ b/tests/tests/raft/fake.rs
@@ -1,6 +1,7 @@
 //! An in-memory disk that can crash and fail.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use oriolereel::error;
 use oriolereel::store::{self, disk};
@@ -13,11 +14,29 @@
     pub synced: BTreeMap<String, usize>,
     /// Operations that still succeed before the disk fails; `None` if it does not fail.
     pub operations_left: Option<u32>,
+    /// Number of operations so far.
+    pub operations: u32,
+    /// Numbers of the operations that find the disk full.
+    pub full: Range<u32>,
+    /// Bytes of an append to the full disk that are stored nevertheless.
+    pub kept_bytes: usize,
 }
 
 impl Disk {
-    /// Counts an operation; fails if none is left.
+    fn is_full(&self) -> bool {
+        self.full.contains(&self.operations)
+    }
+
+    /// Counts an operation; fails if none is left or the disk is full.
     pub fn count_operation(&mut self) -> error::Result<()> {
+        let is_full = self.is_full();
+        self.operations += 1;
+        if is_full {
+            return Err(error::Error::new(
+                error::Kind::Storage,
+                "simulated full disk",
+            ));
+        }
         if let Some(left) = &mut self.operations_left {
             if *left == 0 {
                 return Err(error::Error::new(
@@ -33,6 +52,7 @@
     /// Discards unsynced bytes of each file, except the first `kept_unsynced` modulo their number.
     pub fn crash(&mut self, kept_unsynced: usize) {
         self.operations_left = None;
+        self.full = 0..0;
         for (name, data) in &mut self.files {
             let kept = self.synced.get(name).copied().unwrap_or(0);
             let lost = data.len() - kept;
@@ -53,10 +73,15 @@
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> store::Result<()> {
+        let kept = if self.is_full() {
+            self.kept_bytes.min(bytes.len())
+        } else {
+            bytes.len()
+        };
         self.files
             .entry(name.to_owned())
             .or_default()
-            .extend_from_slice(bytes);
+            .extend_from_slice(&bytes[..kept]);
         self.count_operation()
     }
 
