Agent: a worker that was registered before is reached after the agent starts again

An agent that starts while the leader has removed its worker knew no key, so the worker, which had seen one, refused its calls until the leader changed. The leader now names the highest key that any worker has had in its answer to an agent without a worker (in the field for the cursor, which has no other use there, so that other builds read the message).

--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -71,7 +71,7 @@
     /// Incarnation that the leader has registered, for use until the worker has announced itself.
     expected: Option<Info>,
     key: Option<WorkerKey>,
-    /// Highest key that a worker of this agent has had.
+    /// Highest key that a worker of this agent may have had, as far as this process knows.
     highest_key: u64,
     /// Key under which the worker was seen to hold no run but those that the leader wants there.
     settled: Option<WorkerKey>,
@@ -177,6 +177,8 @@
         let Some((key, info)) = orders.worker else {
             // If the log has no worker for this agent, none of the worker's runs is wanted.
             self.is_unregistered = true;
+            // The worker may have been registered before, and refuses calls under lower keys then.
+            self.highest_key = self.highest_key.max(orders.cursor);
             return self.due_effects(now);
         };
         self.is_unregistered = false;
--- a/src/flow/message.rs
+++ b/src/flow/message.rs
@@ -118,7 +118,8 @@
     /// Fencing token; rises with each leadership.
     pub token: u64,
     pub index: Index,
-    /// Ends up to this number are recorded in the log.
+    /// Ends up to this number are recorded in the log. Without a worker: the highest key that any worker
+    /// has had.
     pub cursor: u64,
     /// Payloads of the wanted runs that the agent does not know.
     pub starts: Vec<Start>,
--- a/src/flow/registry/orders.rs
+++ b/src/flow/registry/orders.rs
@@ -24,6 +24,7 @@
         };
         let key = self.polled_worker(poll);
         let Some((key, worker)) = key.and_then(|key| Some((key, self.worker(key)?))) else {
+            orders.cursor = self.next_worker.saturating_sub(1);
             return orders;
         };
         orders.worker = Some((key, worker.info.clone()));
--- a/tests/tests/flow/lives.rs
+++ b/tests/tests/flow/lives.rs
@@ -136,3 +136,27 @@
         next,
     }
 }
+
+#[test]
+fn workers_whose_agents_were_away_until_they_were_declared_lost_are_used_again() {
+    let mut world = World::new(4, 7, Bounds::default());
+    let task = Action::Submit {
+        tasks: 5,
+        accelerators: 4,
+        gang: false,
+        second_step: false,
+        urgent: false,
+        fails: false,
+    };
+    world.perform(&Action::AdvanceSteps(80));
+    world.perform(&task);
+    world.perform(&Action::AdvanceSteps(40));
+    for machine in 0..4 {
+        world.perform(&Action::KillAgent(machine));
+        world.agents[machine].down_until_ms = world.now + 13_000;
+    }
+    world.perform(&Action::AdvanceSteps(800));
+    let workers = world.registry.workers();
+    let usable = workers.filter(|(key, _worker)| world.planner.is_usable(*key));
+    assert_eq!(usable.count(), 4);
+}
