Agent: nothing that was meant for one incarnation is sent to, or counted for, the next

Found by review and shown by tests that failed before, one each: a lease that was computed on the earlier incarnation's clock lasts as long as the worker accepts, while the agent counted on 4 s; a successor that was not settled got leases, which kept alive what it held for the incarnation before; one whose successor answered once and then ended was never reported as ended; an incarnation with a lower number (the clock was set back) got starts, leases and acknowledgements of its predecessor until its announcement. Besides, starts could wait in the agent's queue until the next incarnation was there, and a confirmation of a stop by the earlier one counted for the later one.

--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -75,6 +75,9 @@
     highest_key: u64,
     /// Key under which the worker was seen to hold no run but those that the leader wants there.
     settled: Option<WorkerKey>,
+    /// Number of incarnations that this process has controlled. Calls that were meant for an earlier one
+    /// are not sent any more, and their outcomes are ignored.
+    epoch: u64,
     /// Highest fencing token of the leader.
     token: u64,
     /// Time at which the last answered poll was sent; the grant starts then.
@@ -127,6 +130,7 @@
             key: None,
             highest_key: 0,
             settled: None,
+            epoch: 0,
             token: 0,
             last_grant_ms: 0,
             index: 0,
@@ -186,7 +190,7 @@
             None => {
                 if self.expected.is_none() {
                     // An earlier process of this agent may have extended its lease.
-                    self.record_lease(now);
+                    self.record_longest_lease(now);
                 }
                 self.expected = Some(info);
                 self.adopt_expected(now);
@@ -495,6 +499,7 @@
                 checkpoint: order.checkpoint.clone(),
                 expires_ms,
                 token,
+                epoch: self.epoch,
             })));
         }
         for run in cancelled {
@@ -512,6 +517,7 @@
                 worker: worker.clone(),
                 run: *run,
                 token,
+                epoch: self.epoch,
             }));
         }
         if !effects.is_empty() && expires_ms.is_some() {
@@ -540,7 +546,7 @@
             .or_else(|| self.expected.clone())?;
         self.report_due = false;
         let listing = self.listing.clone().unwrap_or_default();
-        let responsive = self.listing.is_some() && self.is_responsive(now);
+        let responsive = self.listing.is_some() && self.is_responsive(now) && !self.is_superseded;
         let expired = self.has_expired(now);
         if expired {
             self.mark_expired();
--- a/src/flow/agent/incarnation.rs
+++ b/src/flow/agent/incarnation.rs
@@ -150,16 +150,32 @@
         if self.is_current(&list.worker, incarnation) {
             return true;
         }
-        let is_later = self.incarnation().is_some_and(|(name, current)| {
-            name == list.worker && current < incarnation && !self.is_superseded
-        });
-        if is_later {
-            log::info!(worker = list.worker, incarnation = incarnation; "a later incarnation answers, waiting for its announcement");
-            self.is_superseded = true;
+        let has_name = self
+            .incarnation()
+            .is_some_and(|(name, _current)| name == list.worker);
+        if has_name {
+            self.note_successor(now, incarnation);
         }
         false
     }
 
+    /// Handles a listing of another incarnation under the current worker's name. The call was sent after
+    /// the last one that the current incarnation has answered, so that one has ended.
+    fn note_successor(&mut self, now: Millis, incarnation: u64) {
+        if !self.is_superseded {
+            log::info!(incarnation = incarnation; "another incarnation answers, waiting for its announcement");
+            self.is_superseded = true;
+            self.record_longest_lease(now);
+        }
+        self.last_response_ms = now;
+    }
+
+    /// Reports whether calls that were meant for an incarnation may still be sent, and their outcomes
+    /// count.
+    pub fn is_current_epoch(&self, epoch: u64) -> bool {
+        self.epoch == epoch && !self.is_superseded
+    }
+
     /// Makes a candidate the current worker.
     fn take_over(&mut self, now: Millis, announcement: Announcement) {
         let info = &announcement.info;
@@ -187,9 +203,11 @@
         self.orders.clear();
         self.removals.clear();
         self.absent.clear();
+        self.epoch += 1;
         self.lease_end_ms = 0;
-        // A late call may have given it a lease.
-        self.record_lease(now);
+        // A call that was meant for the incarnation before may have given it a lease. That one's clock
+        // was ahead, so the lease is as long as the worker accepts.
+        self.record_longest_lease(now);
         self.worker = Some(announcement);
         self.report_due = true;
     }
@@ -220,10 +238,10 @@
     }
 
     /// Reports whether no run of the incarnation can still be active: it no longer answers or is
-    /// leaving, and every lease that it may have has expired.
+    /// leaving, and every lease that it or a successor under its name may have has expired.
     pub(super) fn has_expired(&self, now: Millis) -> bool {
         let is_away = self.is_leaving || !self.is_responsive(now);
-        is_away && !self.is_superseded && now > self.lease_end_ms && self.incarnation().is_some()
+        is_away && now > self.lease_end_ms && self.incarnation().is_some()
     }
 
     /// Marks all runs of an expired incarnation as absent, except those whose end it has listed.
--- a/src/flow/agent/lease.rs
+++ b/src/flow/agent/lease.rs
@@ -76,7 +76,9 @@
     /// Returns the end of a lease that starts now, on the worker's clock; nothing if the lease may not
     /// be extended. That of a worker which does not answer must expire, as it may be lost for good.
     pub(super) fn lease_expires_ms(&self, now: Millis) -> Option<Millis> {
+        // What a worker holds for an earlier incarnation must lapse, so it gets no lease before it is settled.
         let may_extend = self.key.is_some()
+            && self.settled == self.key
             && self.has_grant(now)
             && self.is_responsive(now)
             && !self.is_fenced
@@ -113,7 +115,15 @@
 
     /// Records that a call which may extend a lease is sent to the worker now.
     pub(super) fn record_lease(&mut self, now: Millis) {
-        let lease_ms = self.lease_ms();
+        self.record_lease_of(now, self.lease_ms());
+    }
+
+    /// Records that the worker may have been given the longest lease that it accepts.
+    pub(super) fn record_longest_lease(&mut self, now: Millis) {
+        self.record_lease_of(now, self.options.bounds.max_lease_ms);
+    }
+
+    fn record_lease_of(&mut self, now: Millis, lease_ms: Millis) {
         let drift_ms = lease_ms * LEASE_DRIFT_PERCENT / 100;
         let end_ms = now + lease_ms + drift_ms + LEASE_MARGIN_MS;
         self.lease_end_ms = self.lease_end_ms.max(end_ms);
--- a/src/flow/agent/order.rs
+++ b/src/flow/agent/order.rs
@@ -24,6 +24,8 @@
     /// Time on the worker's clock at which the call and the lease expire.
     pub expires_ms: Millis,
     pub token: u64,
+    /// Number of the incarnation that is meant, counted by the agent.
+    pub epoch: u64,
 }
 
 /// A call to stop a run.
@@ -32,6 +34,8 @@
     pub worker: String,
     pub run: Run,
     pub token: u64,
+    /// Number of the incarnation that is meant, counted by the agent.
+    pub epoch: u64,
 }
 
 /// A call for the worker's lists, which may also extend its lease.
--- a/tests/tests/flow/agent.rs
+++ b/tests/tests/flow/agent.rs
@@ -1,7 +1,9 @@
 //! Tests of single decisions of an agent.
 
-use oriolereel::flow::agent::{Core, Effect, Listing};
-use oriolereel::flow::message::{Active, Orders};
+use bytes::Bytes;
+use oriolereel::flow::agent::{Announcement, Core, Effect, Listing};
+use oriolereel::flow::bounds::Bounds;
+use oriolereel::flow::message::{Active, Orders, Start};
 use oriolereel::flow::planner::Options;
 use oriolereel::flow::{Run, Task, WorkerKey};
 
@@ -77,3 +79,126 @@
     let effects = core.on_listing(1_030, 1_020, &list, listing);
     assert_eq!(stops(&effects), [run()]);
 }
+
+fn orders(key: u64, announcement: &Announcement, wanted: Vec<Run>) -> Orders {
+    Orders {
+        token: 1,
+        worker: Some((WorkerKey(key), announcement.info.clone())),
+        wanted,
+        cursor: 40,
+        ..Orders::default()
+    }
+}
+
+/// Returns the worker of an incarnation; all have one name.
+fn worker(incarnation: u64) -> Worker {
+    Worker {
+        name: "w".to_owned(),
+        ..Worker::new(0, incarnation)
+    }
+}
+
+/// An agent with incarnation 10, which runs a run under key 3. Its clock is 500 s ahead.
+fn agent_with_run() -> (Core, Announcement) {
+    let mut worker = Worker {
+        clock_ms: 500_000,
+        ..worker(10)
+    };
+    let announcement = worker.announce(0);
+    let mut core = Core::new("i0".to_owned(), Options::default());
+    core.on_announcement(1_000, announcement.clone());
+    for now in [1_010, 1_050] {
+        core.on_orders(now, now - 10, orders(3, &announcement, vec![run()]));
+        let list = core.list(now + 10, 0).expect("a call to the worker");
+        let listing = Listing {
+            active: active(),
+            ..worker.listing()
+        };
+        core.on_listing(now + 20, now + 10, &list, listing);
+    }
+    (core, announcement)
+}
+
+#[test]
+fn an_incarnation_whose_successor_is_silent_before_its_announcement_is_reported_as_ended() {
+    let (mut core, announcement) = agent_with_run();
+    let list = core.list(1_500, 0).expect("a call to the worker");
+    core.on_listing(1_510, 1_500, &list, worker(11).listing());
+    let mut has_ended = false;
+    for now in (1_600..20_000).step_by(200) {
+        core.on_orders(now, now - 10, orders(3, &announcement, vec![run()]));
+        core.list(now, 0);
+        core.due_effects(now);
+        has_ended |= core.report(now).is_some_and(|report| report.expired);
+    }
+    assert!(has_ended);
+}
+
+#[test]
+fn another_incarnation_of_the_name_gets_no_start_no_lease_and_no_acknowledgement() {
+    for incarnation in [5, 11] {
+        let (mut core, announcement) = agent_with_run();
+        let list = core.list(1_500, 0).expect("a call to the worker");
+        core.on_listing(1_510, 1_500, &list, worker(incarnation).listing());
+        let second = Run { number: 2, ..run() };
+        let start = Start {
+            run: second,
+            payload: Bytes::from_static(b"work"),
+            checkpoint: String::new(),
+        };
+        let orders = Orders {
+            starts: vec![start],
+            ..orders(3, &announcement, vec![run(), second])
+        };
+        let effects = core.on_orders(1_600, 1_590, orders);
+        let list = core.list(1_700, 0).expect("a call to the worker");
+        assert_eq!(effects, [], "{incarnation}");
+        assert_eq!((list.cursor, list.expires_ms), (0, None), "{incarnation}");
+    }
+}
+
+#[test]
+fn a_successor_that_still_holds_a_run_of_the_incarnation_before_gets_no_lease() {
+    let (mut core, _announcement) = agent_with_run();
+    let mut next = worker(11);
+    let announcement = next.announce(0);
+    core.on_announcement(1_400, announcement.clone());
+    for now in (1_500..14_000).step_by(200) {
+        let list = core.list(now, 0).expect("a call to the worker");
+        assert_eq!(list.expires_ms, None, "{now}");
+        let listing = Listing {
+            active: active(),
+            ..next.listing()
+        };
+        // The answers to all stops are lost.
+        for run in stops(&core.on_listing(now + 10, now, &list, listing)) {
+            core.on_stopped(now + 20, run, false);
+        }
+        for run in stops(&core.on_orders(now + 30, now, orders(4, &announcement, Vec::new()))) {
+            core.on_stopped(now + 40, run, false);
+        }
+    }
+}
+
+#[test]
+fn a_lease_on_the_earlier_incarnations_clock_counts_to_the_longest_lease() {
+    let bounds = Bounds::default();
+    let (mut core, _announcement) = agent_with_run();
+    let mut next = worker(11);
+    let list = core.list(1_300, 0).expect("a call to the worker");
+    next.extend_lease(list.expires_ms.expect("a lease"), bounds.max_lease_ms);
+    let lease_ms = next.lease_end_ms - next.clock_ms;
+    assert_eq!(lease_ms, bounds.max_lease_ms);
+    core.on_listing(1_330, 1_300, &list, next.listing());
+    let announcement = next.announce(0);
+    core.on_announcement(1_400, announcement.clone());
+    let list = core.list(1_410, 0).expect("a call to the worker");
+    core.on_listing(1_420, 1_410, &list, next.listing());
+    // From now on nothing is answered.
+    for now in (1_500..1_320 + lease_ms).step_by(50) {
+        core.on_orders(now, now - 10, orders(4, &announcement, vec![run()]));
+        core.due_effects(now);
+        let report = core.report(now).expect("a report");
+        assert!(!report.expired, "{now}");
+    }
+}
