Agent: one that starts after a suspension stops what its worker runs before anyone has named the worker

After the thaw the leader says at once that it has no worker there, but the agent knew its worker only from the next heartbeat, and the worker ran on what had been started elsewhere, for 0.7 s where 0.6 s are allowed. Now such an agent lists whichever worker answers, without a lease, and stops all that it runs.

--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -262,7 +262,9 @@
         if let Some(probe) = self.probe(now) {
             return Some(probe);
         }
-        let (worker, _incarnation) = self.incarnation()?;
+        let Some((worker, _incarnation)) = self.incarnation() else {
+            return self.list_unknown();
+        };
         let wait_ms = if self.lists_at_once(now) {
             0
         } else {
@@ -306,6 +308,9 @@
         listing: Listing,
     ) -> Vec<Effect> {
         self.check_clock(now);
+        if list.worker.is_empty() {
+            return self.stop_unknown(&listing);
+        }
         if sent_ms < self.listed_ms || !self.identify(now, sent_ms, list, &listing) {
             return Vec::new();
         }
--- a/src/flow/agent/incarnation.rs
+++ b/src/flow/agent/incarnation.rs
@@ -7,7 +7,8 @@
 
 use std::collections::BTreeSet;
 
-use crate::flow::agent::{Announcement, Core, List, Listing};
+use crate::flow::agent::{Announcement, Core, Effect, List, Listing, Stop};
+use crate::flow::message::Active;
 use crate::flow::{Millis, Run};
 
 /// Time after its last announcement for which a candidate is probed.
@@ -121,6 +122,34 @@
         })
     }
 
+    /// Returns a call to whichever worker is on the machine, while neither the leader nor an announcement
+    /// has named one. After a suspension it may still run what was started elsewhere.
+    pub(super) fn list_unknown(&self) -> Option<List> {
+        self.is_unregistered.then(|| List {
+            worker: String::new(),
+            token: self.call_token(),
+            cursor: 0,
+            expires_ms: None,
+            wait_ms: 0,
+        })
+    }
+
+    /// Returns calls that stop all runs of a worker that nobody has named yet.
+    pub(super) fn stop_unknown(&self, listing: &Listing) -> Vec<Effect> {
+        if self.incarnation().is_some() {
+            return Vec::new();
+        }
+        let stop = |active: &Active| {
+            Effect::Stop(Stop {
+                worker: String::new(),
+                run: active.run,
+                token: self.call_token(),
+                epoch: self.epoch,
+            })
+        };
+        listing.active.iter().map(stop).collect()
+    }
+
     /// Handles the answer to a list call that another worker than the one it named has given.
     pub fn on_wrong_worker(&mut self, sent_ms: Millis, list: &List) {
         let refuted = self.candidate.take_if(|candidate| {
--- a/src/flow/agent/order.rs
+++ b/src/flow/agent/order.rs
@@ -31,6 +31,7 @@
 /// A call to stop a run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Stop {
+    /// Name of the worker; empty for whichever is there.
     pub worker: String,
     pub run: Run,
     pub token: u64,
@@ -41,6 +42,7 @@
 /// A call for the worker's lists, which may also extend its lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct List {
+    /// Name of the worker; empty for whichever is there.
     pub worker: String,
     pub token: u64,
     pub cursor: u64,
--- a/tests/tests/flow/agent.rs
+++ b/tests/tests/flow/agent.rs
@@ -202,3 +202,23 @@
         assert!(!report.expired, "{now}");
     }
 }
+
+#[test]
+fn an_agent_that_starts_stops_what_an_unregistered_worker_runs_before_its_announcement() {
+    let worker = worker(10);
+    let mut core = Core::new("i0".to_owned(), Options::default());
+    let orders = Orders {
+        token: 1,
+        ..Orders::default()
+    };
+    core.on_orders(1_010, 1_000, orders);
+    let list = core.list(1_020, 0).expect("a call to any worker");
+    let listing = Listing {
+        active: active(),
+        ..worker.listing()
+    };
+    assert_eq!(
+        stops(&core.on_listing(1_030, 1_020, &list, listing)),
+        [run()]
+    );
+}
--- a/tests/tests/flow/call.rs
+++ b/tests/tests/flow/call.rs
@@ -14,7 +14,7 @@
         if !worker.life.executes(now) {
             return Answer::Unknown;
         }
-        if list.worker != worker.name {
+        if !list.worker.is_empty() && list.worker != worker.name {
             let answer = self.answer(machine, Answer::WrongWorker);
             return answer.unwrap_or(Answer::Unknown);
         }
@@ -98,7 +98,8 @@
     pub fn stop(&mut self, machine: usize, stop: &Stop) -> bool {
         let (now, stop_ms) = (self.now, self.bounds.stop_ms);
         let worker = &mut self.workers[machine];
-        if !worker.life.executes(now) || stop.worker != worker.name || stop.token < worker.token {
+        let is_meant = stop.worker.is_empty() || stop.worker == worker.name;
+        if !worker.life.executes(now) || !is_meant || stop.token < worker.token {
             return false;
         }
         worker.token = stop.token;
