Tests: the clock of a worker is read before its lease is extended

numbers::an_agent_survives_any_reading_of_its_workers_clock expected a lease from the first list call. It now lists once before; what it checks, a lease that ends after any reading of the clock, is the same and holds for the first call that may extend one.

--- a/tests/tests/numbers.rs
+++ b/tests/tests/numbers.rs
@@ -174,6 +174,9 @@
 fn an_agent_survives_any_reading_of_its_workers_clock() {
     for clock_ms in [0, 5, MAX / 2, MAX - 5_000, MAX] {
         let mut core = agent(clock_ms);
+        // The first listing shows that the worker holds nothing else; leases are extended from then on.
+        let first = core.list(1_050, 0).expect("a call");
+        core.on_listing(1_060, 1_050, &first, listing(clock_ms));
         let list = core.list(1_100, 0).expect("a call");
         assert!(list.expires_ms >= Some(clock_ms), "{clock_ms}: {list:?}");
         core.on_listing(1_200, 1_100, &list, listing(MAX));
