--- a/src/flow/agent/incarnation.rs
+++ b/src/flow/agent/incarnation.rs
@@ -97,9 +97,9 @@
         info.is_some_and(|info| info.name == name && info.incarnation == incarnation)
     }
 
-    /// Returns the fencing token of calls to the worker. Its key rises with each incarnation that
-    /// registers, so a worker that has seen its own key refuses calls that were meant for an earlier
-    /// incarnation of the same name.
+    /// Returns the fencing token of calls to the worker: the leader's, then the highest known key. Keys
+    /// rise with each incarnation that registers, so a worker that has seen its own key refuses calls
+    /// that were meant for an earlier incarnation of the same name.
     pub(super) fn call_token(&self) -> u64 {
         (self.token << KEY_BITS) | (self.highest_key & ((1 << KEY_BITS) - 1))
     }
@@ -218,6 +218,7 @@
         self.last_grant_ms = 0;
         self.worker_clock = None;
         self.listing = None;
+        // Until the leader has registered it, all that it runs was meant for another incarnation.
         self.is_unregistered = true;
         self.is_fenced = false;
         self.fence_end_ms = None;
