--- a/src/control/disk.rs
+++ b/src/control/disk.rs
@@ -89,6 +89,7 @@
             }
             write @ Request::Write { .. } => write_batch(&mut store, queue, write, &mut next),
         };
+        telemetry::LOG_BYTES.set(store.log_bytes() as i64);
         for completion in completions {
             if completed.send(completion).is_err() {
                 return;
@@ -109,7 +110,12 @@
     let mut attempts = 0;
     while let Err(err) = write(store) {
         if attempts % ATTEMPTS_PER_LINE == 0 {
-            log::error!("disk write failed, retrying: {err}");
+            let usage = store.usage().unwrap_or_default();
+            log::error!(
+                segment_bytes = usage.segments, snapshot_bytes = usage.snapshots,
+                other_bytes = usage.other;
+                "disk write failed, retrying: {err}"
+            );
         }
         attempts += 1;
         thread::sleep(RETRY_DELAY);
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -194,6 +194,8 @@
         self.snapshot_if_due();
         telemetry::TERM.set(self.node.term() as i64);
         telemetry::APPLIED.set(self.ledger.applied() as i64);
+        telemetry::LOG_MEMORY_BYTES.set(self.node.log().bytes() as i64);
+        telemetry::LOG_MEMORY_ENTRIES.set(self.node.log().len() as i64);
         telemetry::LEADER.set(i64::from(self.leader.is_some()));
         telemetry::GENERATION.set(self.ledger.config().generation as i64);
     }
--- a/src/control/member/snapshot.rs
+++ b/src/control/member/snapshot.rs
@@ -7,6 +7,7 @@
 use crate::raft::Index;
 use crate::raft::node;
 use crate::store;
+use crate::telemetry;
 
 impl Member {
     pub(super) fn restore(&mut self, index: Index, data: &[u8]) {
@@ -47,6 +48,13 @@
             members,
             data,
         };
+        log::info!(
+            index = applied, entries = applied - last, log_bytes = self.node.log().bytes(),
+            snapshot_bytes = snapshot.data.len();
+            "saving a snapshot"
+        );
+        telemetry::SNAPSHOTS.inc();
+        telemetry::SNAPSHOT_BYTES.set(snapshot.data.len() as i64);
         let after = self.node.log().slice(applied + 1, usize::MAX);
         self.snapshot = Some(snapshot.clone());
         self.is_saving_snapshot = true;
--- a/src/raft/log.rs
+++ b/src/raft/log.rs
@@ -11,6 +11,8 @@
     base_term: Term,
     base_members: members::Members,
     entries: Vec<message::Entry>,
+    /// Size of the entries in bytes.
+    bytes: usize,
 }
 
 impl Log {
@@ -25,6 +27,7 @@
             base_index,
             base_term,
             base_members,
+            bytes: total_bytes(&entries),
             entries,
         }
     }
@@ -39,6 +42,11 @@
         self.entries.len()
     }
 
+    /// Returns the size of the entries in memory, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Reports whether no entry is in memory.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
@@ -94,13 +102,16 @@
     /// Appends an entry.
     pub fn push(&mut self, entry: message::Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
+        self.bytes += entry_bytes(&entry);
         self.entries.push(entry);
     }
 
     /// Removes the entry at an index and all entries after it.
     pub fn truncate(&mut self, from: Index) {
-        let keep = from.saturating_sub(self.base_index + 1);
-        self.entries.truncate(keep as usize);
+        let keep = from.saturating_sub(self.base_index + 1) as usize;
+        let removed = self.entries.get(keep..).unwrap_or_default();
+        self.bytes -= total_bytes(removed);
+        self.entries.truncate(keep);
     }
 
     /// Removes the entries that a snapshot up to `index` covers.
@@ -108,6 +119,7 @@
         let Some(term) = self.term(index) else { return };
         let members = self.members_at(index);
         let drop = (index - self.base_index) as usize;
+        self.bytes -= total_bytes(&self.entries[..drop]);
         self.entries.drain(..drop);
         self.base_index = index;
         self.base_term = term;
@@ -139,6 +151,10 @@
     }
 }
 
+fn total_bytes(entries: &[message::Entry]) -> usize {
+    entries.iter().map(entry_bytes).sum()
+}
+
 /// Returns the size in bytes that an entry counts for in a batch.
 pub fn entry_bytes(entry: &message::Entry) -> usize {
     const HEADER_BYTES: usize = 24;
--- a/src/store.rs
+++ b/src/store.rs
@@ -29,6 +29,11 @@
 /// Size of a segment at which the next write starts a new one.
 const SEGMENT_BYTES: u64 = 16 << 20;
 
+const SEGMENT_PREFIX: &str = "segment-";
+const SEGMENT_SUFFIX: &str = ".log";
+const SNAPSHOT_PREFIX: &str = "snapshot-";
+const SNAPSHOT_SUFFIX: &str = ".bin";
+
 /// A record in a batch.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Record {
@@ -85,6 +90,15 @@
     pub truncated_bytes: u64,
 }
 
+/// Size of the files in a data folder, in bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    pub segments: u64,
+    pub snapshots: u64,
+    /// Everything else: the identity, unfinished snapshots, and what is kept of a replaced member.
+    pub other: u64,
+}
+
 /// The data folder of one member, open for writing.
 #[derive(Debug)]
 pub struct Store<D> {
@@ -92,6 +106,8 @@
     /// Number of the segment being written.
     segment: u64,
     segment_bytes: u64,
+    /// Size of all segments.
+    log_bytes: u64,
     /// Sequence number of the last batch.
     seq: u64,
     hard_state: message::HardState,
@@ -121,18 +137,44 @@
             truncated_bytes,
         };
         let segment_bytes = replay.segment_bytes;
+        let log_bytes = replay.log_bytes;
         let seq = replay.seq;
         let hard_state = recovered.hard_state;
         let store = Self {
             disk,
             segment,
             segment_bytes,
+            log_bytes,
             seq,
             hard_state,
         };
         Ok((store, recovered))
     }
 
+    /// Returns the size of the log on the disk, in bytes.
+    pub fn log_bytes(&self) -> u64 {
+        self.log_bytes
+    }
+
+    /// Returns the size of the files in the folder.
+    ///
+    /// # Errors
+    /// `Storage` if the folder cannot be read.
+    pub fn usage(&self) -> Result<Usage> {
+        let mut usage = Usage::default();
+        for name in self.disk.list()? {
+            let bytes = self.disk.size(&name)?;
+            if number_of(&name, SEGMENT_PREFIX, SEGMENT_SUFFIX).is_some() {
+                usage.segments += bytes;
+            } else if number_of(&name, SNAPSHOT_PREFIX, SNAPSHOT_SUFFIX).is_some() {
+                usage.snapshots += bytes;
+            } else {
+                usage.other += bytes;
+            }
+        }
+        Ok(usage)
+    }
+
     /// Makes a group of writes durable with one sync.
     ///
     /// # Errors
@@ -181,6 +223,7 @@
         self.disk.sync(&name)?;
         self.seq += 1;
         self.segment_bytes += bytes.len() as u64;
+        self.log_bytes += bytes.len() as u64;
         records.clear();
         Ok(())
     }
@@ -228,6 +271,7 @@
         for segment in old_segments {
             self.disk.remove(&segment_name(segment))?;
         }
+        self.log_bytes = self.segment_bytes;
         Ok(())
     }
 
@@ -250,8 +294,9 @@
     snapshot_position: (Index, Term, members::Members),
     /// Sequence number of the last valid batch.
     seq: u64,
-    /// Valid bytes of the segment that was read last.
+    /// Valid bytes of the segment that was read last, and of all segments.
     segment_bytes: u64,
+    log_bytes: u64,
 }
 
 impl Replay {
@@ -271,6 +316,7 @@
             snapshot_position,
             seq: 0,
             segment_bytes: 0,
+            log_bytes: 0,
         }
     }
 
@@ -296,15 +342,20 @@
                 }
                 _ => {
                     disk.truncate(&name, offset as u64)?;
-                    self.segment_bytes = offset as u64;
+                    self.finish_segment(offset);
                     return Ok((bytes.len() - offset) as u64);
                 }
             }
         }
-        self.segment_bytes = offset as u64;
+        self.finish_segment(offset);
         Ok(0)
     }
 
+    fn finish_segment(&mut self, valid_bytes: usize) {
+        self.segment_bytes = valid_bytes as u64;
+        self.log_bytes += valid_bytes as u64;
+    }
+
     fn apply(&mut self, record: Record) {
         match record {
             Record::HardState(hard_state) => self.hard_state = hard_state,
@@ -354,30 +405,34 @@
 }
 
 fn list_segments<D: disk::Disk>(disk: &D) -> Result<Vec<u64>> {
-    list_numbered(disk, "segment-", ".log")
+    list_numbered(disk, SEGMENT_PREFIX, SEGMENT_SUFFIX)
 }
 
 fn list_snapshots<D: disk::Disk>(disk: &D) -> Result<Vec<u64>> {
-    list_numbered(disk, "snapshot-", ".bin")
+    list_numbered(disk, SNAPSHOT_PREFIX, SNAPSHOT_SUFFIX)
 }
 
 fn list_numbered<D: disk::Disk>(disk: &D, prefix: &str, suffix: &str) -> Result<Vec<u64>> {
     let names = disk.list()?;
-    let number_of = |name: &String| {
-        let number = name.strip_prefix(prefix)?.strip_suffix(suffix)?;
-        number.parse().ok()
-    };
-    let mut numbers: Vec<u64> = names.iter().filter_map(number_of).collect();
+    let numbers = names
+        .iter()
+        .filter_map(|name| number_of(name, prefix, suffix));
+    let mut numbers: Vec<u64> = numbers.collect();
     numbers.sort_unstable();
     Ok(numbers)
 }
 
+fn number_of(name: &str, prefix: &str, suffix: &str) -> Option<u64> {
+    let number = name.strip_prefix(prefix)?.strip_suffix(suffix)?;
+    number.parse().ok()
+}
+
 fn segment_name(number: u64) -> String {
-    format!("segment-{number:012}.log")
+    format!("{SEGMENT_PREFIX}{number:012}{SEGMENT_SUFFIX}")
 }
 
 fn snapshot_name(index: Index) -> String {
-    format!("snapshot-{index:016}.bin")
+    format!("{SNAPSHOT_PREFIX}{index:016}{SNAPSHOT_SUFFIX}")
 }
 
 fn encode_error(err: impl std::fmt::Display) -> error::Error {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -258,6 +258,38 @@
 pub static SYNC_WRITES: LazyLock<IntCounter> =
     LazyLock::new(|| counter("oriolereel_log_writes_total", "Writes made durable"));
 
+/// Size of the log on the disk.
+pub static LOG_BYTES: LazyLock<IntGauge> =
+    LazyLock::new(|| gauge("oriolereel_log_bytes", "Size of the log on the disk"));
+
+/// Size of the log entries in memory.
+pub static LOG_MEMORY_BYTES: LazyLock<IntGauge> = LazyLock::new(|| {
+    gauge(
+        "oriolereel_log_memory_bytes",
+        "Size of the log entries in memory",
+    )
+});
+
+/// Number of log entries in memory.
+pub static LOG_MEMORY_ENTRIES: LazyLock<IntGauge> = LazyLock::new(|| {
+    gauge(
+        "oriolereel_log_memory_entries",
+        "Number of log entries in memory",
+    )
+});
+
+/// Snapshots of the state taken by this member.
+pub static SNAPSHOTS: LazyLock<IntCounter> =
+    LazyLock::new(|| counter("oriolereel_snapshots_total", "Snapshots of the state taken"));
+
+/// Size of the state in the last snapshot.
+pub static SNAPSHOT_BYTES: LazyLock<IntGauge> = LazyLock::new(|| {
+    gauge(
+        "oriolereel_snapshot_bytes",
+        "Size of the state in the last snapshot",
+    )
+});
+
 /// 1 while this member is the leader, otherwise 0.
 pub static LEADER: LazyLock<IntGauge> =
     LazyLock::new(|| gauge("oriolereel_leader", "1 while this member leads"));
