--- a/examples/commit.rs
+++ b/examples/commit.rs
@@ -14,7 +14,7 @@
 
 use oriolereel::command::dev::TempDir;
 use oriolereel::console::Console;
-use oriolereel::control::{daemon, group};
+use oriolereel::control::{daemon, group, member};
 use oriolereel::wire::Frame;
 use oriolereel::wire::transport::{Options, Transport};
 use oriolereel::{config, dev, ledger, telemetry};
@@ -60,6 +60,7 @@
             goal: None,
             bounds: oriolereel::flow::bounds::Bounds::default(),
             max_aside_bytes: daemon::MAX_ASIDE_BYTES,
+            max_log_bytes: member::MAX_LOG_BYTES,
             listen: *addr,
             http: dev::loopback(0),
             data,
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -53,6 +53,8 @@
     pub data: PathBuf,
     /// Maximum size of the data that is kept of a member that the group has replaced.
     pub max_aside_bytes: u64,
+    /// Growth of the log at which a snapshot is taken, in bytes.
+    pub max_log_bytes: u64,
     /// What the group must bear; `None` if operators add and remove members by hand. With a goal, a
     /// member that the group has replaced rejoins under a new identity.
     pub goal: Option<size::Goal>,
@@ -191,6 +193,7 @@
             addr,
             goal: options.goal,
             bounds: options.bounds,
+            max_log_bytes: options.max_log_bytes,
             leader: leader::Options {
                 retention_ms: options.retention.as_millis() as u64,
                 seed: rand::random(),
--- a/src/control/disk.rs
+++ b/src/control/disk.rs
@@ -48,9 +48,13 @@
     Written {
         after: Vec<message::Message>,
         last: Option<(Index, Term)>,
+        /// Size of the log on the disk, in bytes.
+        log_bytes: u64,
     },
     Saved {
         index: Index,
+        /// Size of the log on the disk, in bytes.
+        log_bytes: u64,
     },
 }
 
@@ -85,7 +89,8 @@
                 retry_write(&mut store, |store| {
                     store.save_snapshot(snapshot.clone(), after.clone())
                 });
-                vec![Completion::Saved { index }]
+                let log_bytes = store.log_bytes();
+                vec![Completion::Saved { index, log_bytes }]
             }
             write @ Request::Write { .. } => write_batch(&mut store, queue, write, &mut next),
         };
@@ -137,7 +142,7 @@
     next: &mut Option<Request>,
 ) -> Vec<Completion> {
     let mut writes = Vec::new();
-    let mut completions = Vec::new();
+    let mut results = Vec::new();
     let mut request = Some(first);
     while let Some(Request::Write {
         writes: more,
@@ -146,8 +151,8 @@
     }) = request.take()
     {
         writes.extend(more);
-        completions.push(Completion::Written { after, last });
-        if completions.len() == MAX_BATCH_REQUESTS {
+        results.push((after, last));
+        if results.len() == MAX_BATCH_REQUESTS {
             break;
         }
         match queue.try_recv() {
@@ -161,8 +166,14 @@
         retry_write(store, |store| store.write(part));
     }
     telemetry::SYNC_SECONDS.observe(start.elapsed().as_secs_f64());
-    telemetry::SYNC_WRITES.inc_by(completions.len() as u64);
-    completions
+    telemetry::SYNC_WRITES.inc_by(results.len() as u64);
+    let log_bytes = store.log_bytes();
+    let written = |(after, last)| Completion::Written {
+        after,
+        last,
+        log_bytes,
+    };
+    results.into_iter().map(written).collect()
 }
 
 /// Returns the parts that each reach the disk entirely or not at all: a snapshot by itself,
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -38,9 +38,12 @@
 use crate::wire::frame::{self, Frame};
 use crate::wire::transport;
 
-/// Number of applied entries after which a snapshot is taken.
+/// Number of applied entries after which a snapshot is taken, however small they are.
 const SNAPSHOT_ENTRIES: Index = 8_192;
 
+/// Maximum growth of the log between two snapshots where nothing else is set, in bytes.
+pub const MAX_LOG_BYTES: u64 = 16 << 20;
+
 /// Number of entries that stay in memory although a snapshot covers them, for members that are
 /// slightly behind.
 const RETAINED_ENTRIES: Index = 2_048;
@@ -57,6 +60,8 @@
     /// What the group must bear; `None` if operators add and remove members by hand.
     pub goal: Option<size::Goal>,
     pub bounds: Bounds,
+    /// Growth of the log on the disk at which a snapshot is taken, in bytes.
+    pub max_log_bytes: u64,
     pub leader: leader::Options,
 }
 
@@ -78,6 +83,7 @@
     disk: channel::Sender<disk::Request>,
     snapshot: Option<store::Snapshot>,
     is_saving_snapshot: bool,
+    log_size: snapshot::LogSize,
     watchers: watch::Watchers,
     job_polls: BTreeMap<JobId, Vec<poll::Poll>>,
     /// Queries for the leader that wait until there is one.
@@ -129,6 +135,7 @@
             disk,
             snapshot: recovered.snapshot,
             is_saving_snapshot: false,
+            log_size: snapshot::LogSize::new(recovered.log_bytes),
             watchers,
             job_polls: BTreeMap::new(),
             queries: Vec::new(),
@@ -209,14 +216,20 @@
     /// Handles a completion from the disk thread.
     pub fn handle_completion(&mut self, completion: disk::Completion) {
         match completion {
-            disk::Completion::Written { after, last } => {
+            disk::Completion::Written {
+                after,
+                last,
+                log_bytes,
+            } => {
+                self.log_size.record_write(log_bytes);
                 self.send(after);
                 if let Some((index, term)) = last {
                     let effects = self.node.mark_durable(clock::mono_ms(), index, term);
                     self.perform(effects);
                 }
             }
-            disk::Completion::Saved { index } => {
+            disk::Completion::Saved { index, log_bytes } => {
+                self.log_size.record_snapshot(log_bytes);
                 self.is_saving_snapshot = false;
                 self.node.compact(index.saturating_sub(RETAINED_ENTRIES));
             }
--- a/src/control/member/snapshot.rs
+++ b/src/control/member/snapshot.rs
@@ -9,6 +9,42 @@
 use crate::store;
 use crate::telemetry;
 
+/// Size of the log on the disk, in bytes.
+#[derive(Debug)]
+pub(super) struct LogSize {
+    bytes: u64,
+    /// Size right after the last snapshot, which covers none of these entries.
+    base_bytes: u64,
+}
+
+impl LogSize {
+    /// Creates the size of a log that was read from the disk.
+    pub(super) fn new(bytes: u64) -> Self {
+        Self {
+            bytes,
+            base_bytes: 0,
+        }
+    }
+
+    pub(super) fn record_write(&mut self, bytes: u64) {
+        self.bytes = bytes;
+        // A snapshot that was received has replaced the log.
+        self.base_bytes = self.base_bytes.min(bytes);
+    }
+
+    pub(super) fn record_snapshot(&mut self, bytes: u64) {
+        *self = Self {
+            bytes,
+            base_bytes: bytes,
+        };
+    }
+
+    /// Returns by how much the log has grown since the last snapshot.
+    fn growth_bytes(&self) -> u64 {
+        self.bytes - self.base_bytes
+    }
+}
+
 impl Member {
     pub(super) fn restore(&mut self, index: Index, data: &[u8]) {
         match ledger::Ledger::decode(data) {
@@ -35,7 +71,9 @@
     pub(super) fn snapshot_if_due(&mut self) {
         let applied = self.ledger.applied();
         let last = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
-        if self.is_saving_snapshot || applied < last + SNAPSHOT_ENTRIES {
+        let is_due = applied >= last + SNAPSHOT_ENTRIES
+            || applied > last && self.log_size.growth_bytes() >= self.options.max_log_bytes;
+        if self.is_saving_snapshot || !is_due {
             return;
         }
         let (Ok(data), Some(term)) = (self.ledger.encode(), self.node.log().term(applied)) else {
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -276,6 +276,7 @@
             http: loopback(port),
             data,
             max_aside_bytes: control::daemon::MAX_ASIDE_BYTES,
+            max_log_bytes: control::member::MAX_LOG_BYTES,
             goal: None,
             bounds: flow::bounds::Bounds::default(),
             operator_token: OPERATOR_TOKEN.to_owned(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -150,6 +150,7 @@
             http: self.http,
             data: self.data.clone(),
             max_aside_bytes: control::daemon::MAX_ASIDE_BYTES,
+            max_log_bytes: control::member::MAX_LOG_BYTES,
             goal: self.tolerate.map(goal),
             bounds: flow::bounds::Bounds::default(),
             operator_token: self.operator_token.clone(),
--- a/src/store.rs
+++ b/src/store.rs
@@ -86,6 +86,8 @@
     pub hard_state: message::HardState,
     pub snapshot: Option<Snapshot>,
     pub log: log::Log,
+    /// Size of the log on the disk, in bytes.
+    pub log_bytes: u64,
     /// Size of the incomplete batch that was truncated from the end of the log, in bytes.
     pub truncated_bytes: u64,
 }
@@ -134,10 +136,11 @@
             hard_state: replay.hard_state,
             snapshot,
             log: replay.log,
+            log_bytes: replay.log_bytes,
             truncated_bytes,
         };
         let segment_bytes = replay.segment_bytes;
-        let log_bytes = replay.log_bytes;
+        let log_bytes = recovered.log_bytes;
         let seq = replay.seq;
         let hard_state = recovered.hard_state;
         let store = Self {
--- a/tests/tests/operators.rs
+++ b/tests/tests/operators.rs
@@ -7,7 +7,7 @@
 use crossbeam::channel;
 use oriolereel::console::Console;
 use oriolereel::control::group::Group;
-use oriolereel::control::{daemon, size};
+use oriolereel::control::{daemon, member, size};
 use oriolereel::dev;
 use oriolereel::flow::catalog::{Account, Catalog, Queue};
 use oriolereel::flow::job::{Amount, Spec, Step};
@@ -43,6 +43,7 @@
             goal: None,
             bounds: oriolereel::flow::bounds::Bounds::default(),
             max_aside_bytes: daemon::MAX_ASIDE_BYTES,
+            max_log_bytes: member::MAX_LOG_BYTES,
             listen: reservation.addr(),
             http: dev::loopback(0),
             data: dir.path().to_path_buf(),
