--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -44,9 +44,10 @@
 /// Maximum growth of the log between two snapshots where nothing else is set, in bytes.
 pub const MAX_LOG_BYTES: u64 = 16 << 20;
 
-/// Number of entries that stay in memory although a snapshot covers them, for members that are
-/// slightly behind.
+/// Maximum number of entries that stay in memory although a snapshot covers them, for members that are
+/// slightly behind, and their maximum size in bytes.
 const RETAINED_ENTRIES: Index = 2_048;
+const RETAINED_BYTES: usize = 4 << 20;
 
 /// Time allowed for sending a message to another member.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -231,7 +232,9 @@
             disk::Completion::Saved { index, log_bytes } => {
                 self.log_size.record_snapshot(log_bytes);
                 self.is_saving_snapshot = false;
-                self.node.compact(index.saturating_sub(RETAINED_ENTRIES));
+                let log = self.node.log();
+                let removable = log.removable_to(index, RETAINED_ENTRIES, RETAINED_BYTES);
+                self.node.compact(removable);
             }
         }
     }
--- a/src/raft/log.rs
+++ b/src/raft/log.rs
@@ -114,6 +114,22 @@
         self.entries.truncate(keep);
     }
 
+    /// Returns the index up to which entries can be removed so that of those up to `index` at most
+    /// this many, and at most this many bytes, remain.
+    pub fn removable_to(&self, index: Index, max_entries: Index, max_bytes: usize) -> Index {
+        let min_index = index.saturating_sub(max_entries);
+        let mut bytes = 0;
+        let mut first = index;
+        while first > min_index {
+            bytes += self.get(first).map_or(0, entry_bytes);
+            if bytes > max_bytes {
+                break;
+            }
+            first -= 1;
+        }
+        first
+    }
+
     /// Removes the entries that a snapshot up to `index` covers.
     pub fn compact(&mut self, index: Index) {
         let Some(term) = self.term(index) else { return };
--- a/tests/tests/raft.rs
+++ b/tests/tests/raft.rs
@@ -17,6 +17,7 @@
 use oriolereel::config::{self, diff};
 use oriolereel::ledger::Ledger;
 use oriolereel::ledger::command::{Batch, Command};
+use oriolereel::raft::log;
 use oriolereel::raft::members::{self, Members};
 use oriolereel::raft::message::{Entry, Message, Payload};
 use oriolereel::raft::node::{Effects, Node, Role, Start, Timing};
--- a/tests/tests/raft/cases.rs
+++ b/tests/tests/raft/cases.rs
@@ -158,3 +158,45 @@
         assert!(cluster.leader().is_some(), "{size}: no leader yet");
     }
 }
+
+#[test]
+fn a_log_counts_its_bytes_and_keeps_few_of_the_entries_that_a_snapshot_covers() {
+    struct Case {
+        name: &'static str,
+        upto: Index,
+        max_entries: Index,
+        max_entry_sizes: usize,
+        removable: Index,
+    }
+    let case = |name, upto, max_entries, max_entry_sizes, removable| Case {
+        name,
+        upto,
+        max_entries,
+        max_entry_sizes,
+        removable,
+    };
+    let cases = [
+        case("by number", 8, 3, 100, 5),
+        case("by size", 8, 100, 3, 5),
+        case("none kept", 8, 100, 0, 8),
+        case("all kept", 8, 100, 100, 0),
+    ];
+    let entry = |index| Entry {
+        index,
+        term: 1,
+        payload: Payload::Command(vec![0; 1_000].into()),
+    };
+    let entry_bytes = log::entry_bytes(&entry(1));
+    for case in cases {
+        let mut log = log::Log::default();
+        (1..=10).for_each(|index| log.push(entry(index)));
+        assert_eq!(log.bytes(), 10 * entry_bytes, "{}", case.name);
+        let max_bytes = case.max_entry_sizes * entry_bytes;
+        let removable = log.removable_to(case.upto, case.max_entries, max_bytes);
+        assert_eq!(removable, case.removable, "{}", case.name);
+        log.truncate(10);
+        log.compact(removable);
+        assert_eq!(log.bytes(), log.len() * entry_bytes, "{}", case.name);
+        assert_eq!(log.len() as Index, 9 - removable, "{}", case.name);
+    }
+}
