Store: files that a crash has left unfinished are removed when the folder is opened

Change: opening the store, before its disk thread starts, removes files with that suffix and logs each.

Test: store::unfinished_files_are_removed_when_the_folder_is_opened.

--- a/src/store.rs
+++ b/src/store.rs
@@ -116,13 +116,14 @@
 }
 
 impl<D: disk::Disk> Store<D> {
-    /// Opens the folder of a member and reads its state.
+    /// Opens the folder of a member, removes what a crash has left unfinished, and reads its state.
     ///
     /// # Errors
     /// `Storage` if the folder is not initialized, belongs to another member or is damaged; the
     /// detail names the file and, for damage, the offset.
     pub fn open(mut disk: D, id: Id) -> Result<(Self, Recovered)> {
         identity::check(&mut disk, id)?;
+        remove_unfinished(&mut disk)?;
         let snapshot = read_snapshot(&mut disk)?;
         let mut replay = Replay::new(snapshot.as_ref());
         let segments = list_segments(&disk)?;
@@ -407,6 +408,16 @@
     }))
 }
 
+fn remove_unfinished<D: disk::Disk>(disk: &mut D) -> Result<()> {
+    for name in disk.list()? {
+        if name.ends_with(disk::UNFINISHED_SUFFIX) {
+            ::log::info!(file = name; "removing a file that a crash has left unfinished");
+            disk.remove(&name)?;
+        }
+    }
+    Ok(())
+}
+
 fn list_segments<D: disk::Disk>(disk: &D) -> Result<Vec<u64>> {
     list_numbered(disk, SEGMENT_PREFIX, SEGMENT_SUFFIX)
 }
--- a/src/store/disk.rs
+++ b/src/store/disk.rs
@@ -2,6 +2,10 @@
 
 use crate::store::Result;
 
+/// Suffix of a file that takes another one's place once it is whole. One that a crash has left belongs
+/// to nobody.
+pub const UNFINISHED_SUFFIX: &str = ".new";
+
 /// A flat folder whose files are durable only once they are synced.
 pub trait Disk {
     /// Returns the names of all files.
--- a/src/store/folder.rs
+++ b/src/store/folder.rs
@@ -90,7 +90,7 @@
 
     fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
         let path = self.path.join(name);
-        let temporary = self.path.join(format!("{name}.new"));
+        let temporary = self.path.join(format!("{name}{}", disk::UNFINISHED_SUFFIX));
         let mut file =
             fs::File::create(&temporary).map_err(|err| storage_error(&temporary, &err))?;
         file.write_all(bytes)
--- a/tests/tests/store.rs
+++ b/tests/tests/store.rs
@@ -256,3 +256,24 @@
     );
     open(dir.path(), 1).expect("a readable folder");
 }
+
+// Guards against snapshots that a crash has left unfinished: each stayed on the disk for good, and enough
+// of them filled it.
+#[test]
+fn unfinished_files_are_removed_when_the_folder_is_opened() {
+    let folder = tempfile::tempdir().expect("a folder");
+    fill_folder(folder.path());
+    let unfinished = [
+        "snapshot-0000000000000004.bin.new",
+        "snapshot-0000000000000009.bin.new",
+        "identity.json.new",
+    ];
+    for name in unfinished {
+        std::fs::write(folder.path().join(name), [7; 1_000]).expect("a file");
+    }
+    let recovered = open(folder.path(), 1).expect("a readable folder");
+    assert_eq!(recovered.log.last_index(), 5);
+    for name in unfinished {
+        assert!(!folder.path().join(name).exists(), "{name} is still there");
+    }
+}
