Ledger: the configuration changes that are kept are bounded by the items they changed

Seen: a process of the product's own interface that has missed many large changes never gets another configuration. Its update holds all changes that it lacks, and one of 450 changes of 1,000 services has 23,806,377 bytes where a frame may have 16,777,216.

Changes were kept by number, 1,024, whatever they held.

Change: those that changed 8,192 items together are kept, and the last one in any case. A process that is further behind gets the whole configuration, as before after 1,024 changes.

Test: config::a_process_that_has_missed_many_large_changes_gets_an_update_that_fits_a_frame. Before: no update for a process at generation 0, with the size above; now it passes.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -28,8 +28,10 @@
 /// Result of encoding or decoding the state.
 pub type Result<T> = error::Result<T>;
 
-/// Number of configuration changes kept for processes that missed some.
+/// Maximum number of configuration changes kept for processes that missed some, and of the items that
+/// they changed. The last change is kept in any case.
 pub const KEPT_REVISIONS: usize = 1_024;
+pub const KEPT_CHANGED_ITEMS: usize = 8_192;
 
 /// Number of decisions kept for each job.
 pub const KEPT_NOTES: usize = 32;
--- a/src/ledger/apply.rs
+++ b/src/ledger/apply.rs
@@ -4,8 +4,8 @@
 use crate::flow::WorkerKey;
 use crate::ledger::command::Batch;
 use crate::ledger::{
-    Agent, Command, Grant, Job, KEPT_NOTES, KEPT_REVISIONS, Ledger, Note, Outcome, Phase, Revision,
-    Worker,
+    Agent, Command, Grant, Job, KEPT_CHANGED_ITEMS, KEPT_NOTES, KEPT_REVISIONS, Ledger, Note,
+    Outcome, Phase, Revision, Worker,
 };
 use crate::raft::Index;
 use crate::sched::event;
@@ -167,12 +167,22 @@
         delta.apply(&mut self.config);
         self.hash = revision.hash;
         self.revisions.push_back(revision);
-        while self.revisions.len() > KEPT_REVISIONS {
-            self.revisions.pop_front();
-        }
+        self.drop_revisions();
         true
     }
 
+    /// Removes the oldest configuration changes beyond the limits.
+    fn drop_revisions(&mut self) {
+        let changes = self.revisions.iter().map(|revision| &revision.changes);
+        let mut items: usize = changes.map(Vec::len).sum();
+        while self.revisions.len() > 1
+            && (self.revisions.len() > KEPT_REVISIONS || items > KEPT_CHANGED_ITEMS)
+        {
+            let first = self.revisions.pop_front();
+            items -= first.map_or(0, |revision| revision.changes.len());
+        }
+    }
+
     fn grant(
         &mut self,
         index: Index,
--- a/tests/tests/config.rs
+++ b/tests/tests/config.rs
@@ -2,7 +2,10 @@
 
 use std::path::Path;
 
-use oriolereel::config::{diff, parse};
+use oriolereel::config::{Config, diff, parse};
+use oriolereel::ledger::command::{Batch, Command};
+use oriolereel::ledger::{Ledger, query};
+use oriolereel::wire::{self, Frame, frame};
 
 const TOKEN: &str = "aa00000000000000000000000000000000000000000000000000000000000000";
 
@@ -131,3 +134,60 @@
     assert_eq!(old, new);
     assert_eq!(old.hash(), new.hash());
 }
+
+/// Configuration changes, each of so many services.
+const CHANGES: u64 = 450;
+const CHANGED_SERVICES: u32 = 1_000;
+
+/// Returns a configuration with many services, all of which differ between odd and even generations.
+fn large(generation: u64) -> Config {
+    let mut text = valid().replace("generation = 3", &format!("generation = {generation}"));
+    let declared_s = 10 + generation % 2;
+    for number in 0..CHANGED_SERVICES {
+        text.push_str(&format!(
+            "\n[[service]]\nname = \"service-with-a-long-name-{number}\"\naccelerators = 1\n\
+             cpus = 1\nmemory_gb = 1\ndeclared_s = {declared_s}\n"
+        ));
+    }
+    parse::parse(source(&text)).expect("a valid configuration")
+}
+
+// Guards against changes that are kept by their number only: the update for a process that was behind
+// exceeded the size of a frame, so it never got another configuration.
+#[test]
+fn a_process_that_has_missed_many_large_changes_gets_an_update_that_fits_a_frame() {
+    let configs = [large(2), large(3)];
+    let mut ledger = Ledger::default();
+    for generation in 1..=CHANGES {
+        let old = ledger.config().clone();
+        let mut new = configs[(generation % 2) as usize].clone();
+        new.generation = generation;
+        let delta = diff::Delta::between(&old, &new);
+        let command = Command::Configure {
+            hash: new.hash(),
+            changes: delta.describe(&old),
+            delta,
+        };
+        let batch = Batch {
+            at_ms: generation,
+            commands: vec![command],
+        };
+        ledger.apply(generation, batch);
+    }
+    for behind in [0, 1, CHANGES / 2, CHANGES - 1] {
+        let config = ledger.catchup(behind);
+        assert!(config.is_some(), "nothing for a process at {behind}");
+        let update = frame::Update {
+            config,
+            index: CHANGES,
+            fresh: true,
+            grants: Vec::new(),
+            has_grants: false,
+        };
+        if let Err(err) = wire::encode(&Frame::Update(update)) {
+            panic!("a process at generation {behind} gets no update: {err}");
+        }
+    }
+    let last = ledger.catchup(CHANGES - 1);
+    assert!(matches!(last, Some(query::Catchup::Deltas(_))), "{last:?}");
+}
