Raft: what a member says of earlier messages does not make the leader send entries again

Cause: a member whose disk is full answers nothing, and gives all answers at once when there is room. Some say that the entry before those in a message was missing, as messages overtake each other. For each of these the leader moved back to the first entry that was not acknowledged, and sent a batch of up to 1 MiB. Ruled out: the log in memory (8 MB), the queues of the disk thread and of the transport (empty); sending a silent member less again changed nothing, as the earlier trial had shown.

Change: such an answer counts only for a message that was sent since the leader last moved back. Its next heartbeat gives a newer answer.

Test: raft::cases::late_answers_of_a_member_make_the_leader_send_the_backlog_once. Before: 100,012,000 bytes sent for a backlog of 8,000,000; now it passes, with all tests of raft, membership and election.

--- a/src/raft/node/lead.rs
+++ b/src/raft/node/lead.rs
@@ -97,8 +97,7 @@
         };
         let is_stalled = now >= progress.window_opened_ms + resend_ms;
         if progress.next_index > progress.match_index + 1 && is_stalled {
-            progress.next_index = progress.match_index + 1;
-            progress.window_opened_ms = now;
+            progress.move_back(progress.match_index + 1, now);
         }
         if progress.next_index <= self.log.base_index() {
             self.request_chunk(to);
@@ -158,9 +157,10 @@
                 progress.window_opened_ms = self.now;
             }
             progress.next_index = progress.next_index.max(index + 1);
-        } else {
-            progress.next_index = (index + 1).clamp(progress.match_index + 1, last_index + 1);
-            progress.window_opened_ms = self.now;
+        } else if sent_ms >= progress.moved_back_ms {
+            // A member whose disk was full for a time gives the answers of that time all at once.
+            let next_index = (index + 1).clamp(progress.match_index + 1, last_index + 1);
+            progress.move_back(next_index, self.now);
         }
         let has_more = progress.next_index <= last_index || progress.next_index <= base_index;
         self.advance_commit();
--- a/src/raft/progress.rs
+++ b/src/raft/progress.rs
@@ -18,6 +18,9 @@
     /// Time at which the window of unacknowledged entries last opened, advanced or was reset. If it
     /// stalls, the entries are sent again.
     pub window_opened_ms: Millis,
+    /// Time at which `next_index` was last moved back. What the member says of earlier messages does not
+    /// move it again.
+    pub moved_back_ms: Millis,
     /// Position of the snapshot part in flight, while a snapshot is being sent.
     pub snapshot: Option<Position>,
 }
@@ -39,7 +42,15 @@
             acked_ms: 0,
             sent_ms: 0,
             window_opened_ms: now_ms,
+            moved_back_ms: 0,
             snapshot: None,
         }
     }
+
+    /// Sends entries from an index on again.
+    pub fn move_back(&mut self, next_index: Index, now_ms: Millis) {
+        self.next_index = next_index;
+        self.window_opened_ms = now_ms;
+        self.moved_back_ms = now_ms;
+    }
 }
--- a/tests/tests/raft.rs
+++ b/tests/tests/raft.rs
@@ -19,7 +19,7 @@
 use oriolereel::ledger::command::{Batch, Command};
 use oriolereel::raft::log;
 use oriolereel::raft::members::{self, Members};
-use oriolereel::raft::message::{Entry, Message, Payload};
+use oriolereel::raft::message::{Body, Entry, Message, Payload};
 use oriolereel::raft::node::{Effects, Node, Role, Start, Timing};
 use oriolereel::raft::{Id, Index, Millis, Term};
 use oriolereel::store::{self, Snapshot, Store};
@@ -29,6 +29,8 @@
 use fake::Disk;
 use step::Step;
 
+use crate::support;
+
 struct Running {
     node: Node,
     store: Store<Disk>,
--- a/tests/tests/raft/cases.rs
+++ b/tests/tests/raft/cases.rs
@@ -200,3 +200,65 @@
         assert_eq!(log.len() as Index, 9 - removable, "{}", case.name);
     }
 }
+
+/// Size of a large entry, and the number of entries that a member has not acknowledged.
+const LARGE_ENTRY_BYTES: usize = 200_000;
+const BACKLOG: u64 = 40;
+
+/// Answers that a member gives at once when its disk has room again.
+const LATE_ANSWERS: u64 = 100;
+
+/// Returns the entries' bytes in messages to a member.
+fn entries_bytes(messages: &[Message], to: Id) -> usize {
+    let sent = messages.iter().filter(|message| message.to == to);
+    let entries = sent.filter_map(|message| match &message.body {
+        Body::AppendEntries { entries, .. } => Some(entries),
+        _ => None,
+    });
+    entries.flatten().map(log::entry_bytes).sum()
+}
+
+// Guards against a leader that runs out of memory as soon as a full disk has room again: it sent a batch
+// for each of the old answers that came at once.
+#[test]
+fn late_answers_of_a_member_make_the_leader_send_the_backlog_once() {
+    let ids = [1, 2, 3];
+    let start = |id: Id| (id, support::start_node(id, 7, &ids));
+    let mut nodes: BTreeMap<Id, Node> = ids.into_iter().map(start).collect();
+    let (leader_id, start_ms) = support::elect_leader(&mut nodes).expect("a leader");
+    let member = ids
+        .into_iter()
+        .find(|id| *id != leader_id)
+        .expect("another");
+    let leader = nodes.get_mut(&leader_id).expect("it runs");
+    let known_index = leader.match_index(member).expect("it leads");
+    let mut now = start_ms;
+    for _entry in 0..BACKLOG {
+        now += 20;
+        let data = vec![0; LARGE_ENTRY_BYTES].into();
+        let (_index, _effects) = leader.propose(now, data).expect("it leads");
+    }
+    let mut sent = 0;
+    for answer in 0..LATE_ANSWERS {
+        // The entry before the ones in these messages had been overtaken.
+        let body = Body::AppendReply {
+            matched: false,
+            index: known_index,
+            sent_ms: start_ms + answer * 8,
+        };
+        let message = Message {
+            from: member,
+            to: leader_id,
+            term: leader.term(),
+            body,
+        };
+        sent += entries_bytes(&leader.receive(now, message).messages, member);
+    }
+    let backlog = LARGE_ENTRY_BYTES * BACKLOG as usize;
+    let limit = backlog + Timing::default().batch_bytes;
+    assert!(sent > 0, "nothing is sent");
+    assert!(
+        sent <= limit,
+        "{sent} bytes sent for a backlog of {backlog}"
+    );
+}
