Agent: no end is acknowledged where a later incarnation may answer

Cause, from the record: the worker started again under its name and ran run 8 before its first heartbeat; its agent was suspended meanwhile. The agent's next list call carried what had been acknowledged to the incarnation before. Ends are numbered anew, so the new incarnation forgot its end 1 before any listing held it, and the leader started the task again.

Change: a list call acknowledges ends only within 1 s of the current incarnation's last listing, suspensions counted, and not while a candidate has its name. An end that is not acknowledged is listed again.

Test: flow::agent::nothing_is_acknowledged_where_a_later_incarnation_may_answer.

--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -101,6 +101,8 @@
     listed_ms: Millis,
     /// Time at which the last listing arrived.
     last_response_ms: Millis,
+    /// The same, but counting the time of suspensions since.
+    identified_ms: Millis,
     /// Runs that should be active, according to the leader.
     wanted: BTreeSet<Run>,
     orders: BTreeMap<Run, Order>,
@@ -144,6 +146,7 @@
             listing: None,
             listed_ms: 0,
             last_response_ms: 0,
+            identified_ms: 0,
             wanted: BTreeSet::new(),
             orders: BTreeMap::new(),
             removals: BTreeMap::new(),
@@ -277,12 +280,7 @@
         Some(List {
             worker,
             token: self.call_token(),
-            // Numbers of ends start anew with each incarnation.
-            cursor: if self.listing.is_none() || self.is_superseded {
-                0
-            } else {
-                self.cursor
-            },
+            cursor: self.acknowledged(now),
             expires_ms,
             wait_ms,
         })
@@ -355,6 +353,7 @@
         self.listing = Some(listing);
         self.listed_ms = sent_ms;
         self.last_response_ms = now;
+        self.identified_ms = now;
         self.due_effects(now)
     }
 
--- a/src/flow/agent/incarnation.rs
+++ b/src/flow/agent/incarnation.rs
@@ -17,6 +17,10 @@
 /// Time after the last listing from which on the worker counts as unresponsive.
 const RESPONSE_TIMEOUT_MS: Millis = 2_500;
 
+/// Time after the last listing for which ends are acknowledged. A worker needs longer to end, start again
+/// under its name and finish a run.
+const ACKNOWLEDGE_TIMEOUT_MS: Millis = 1_000;
+
 /// Bits of a fencing token that hold the worker's key. The higher ones hold the leader's token.
 const KEY_BITS: u32 = 32;
 
@@ -104,6 +108,23 @@
         (self.token << KEY_BITS) | (self.highest_key & ((1 << KEY_BITS) - 1))
     }
 
+    /// Returns the number up to which the next list call acknowledges ends. It is zero unless the current
+    /// incarnation has answered just before: a later one under its name numbers its ends anew, and would
+    /// forget those that it has not listed yet.
+    pub(super) fn acknowledged(&self, now: Millis) -> u64 {
+        let name = self.incarnation().map(|(name, _incarnation)| name);
+        let candidate = self.candidate.as_ref();
+        let candidate = candidate.map(|candidate| &candidate.announcement.info.name);
+        let has_successor = self.is_superseded || candidate.is_some() && candidate == name.as_ref();
+        let has_answered =
+            self.listing.is_some() && now <= self.identified_ms + ACKNOWLEDGE_TIMEOUT_MS;
+        if has_answered && !has_successor {
+            self.cursor
+        } else {
+            0
+        }
+    }
+
     /// Returns the next call to the candidate. Calls to it and to the current worker alternate.
     pub(super) fn probe(&mut self, now: Millis) -> Option<List> {
         let is_known = self.incarnation().is_some();
--- a/tests/tests/flow/agent.rs
+++ b/tests/tests/flow/agent.rs
@@ -222,3 +222,60 @@
         [run()]
     );
 }
+
+// Guards against an end that is acknowledged before anyone has seen it: the call reached a later incarnation
+// under the same name, which had run a task before its announcement, and the task was started again.
+#[test]
+fn nothing_is_acknowledged_where_a_later_incarnation_may_answer() {
+    struct Case {
+        name: &'static str,
+        announced: bool,
+        /// Time since the last answer.
+        silent_ms: u64,
+        cursor: u64,
+    }
+    let cases = [
+        Case {
+            name: "the worker has just answered",
+            announced: false,
+            silent_ms: 100,
+            cursor: 40,
+        },
+        Case {
+            name: "another incarnation has announced itself",
+            announced: true,
+            silent_ms: 100,
+            cursor: 0,
+        },
+        Case {
+            name: "the worker was silent",
+            announced: false,
+            silent_ms: 1_200,
+            cursor: 0,
+        },
+        Case {
+            name: "the machine was suspended",
+            announced: false,
+            silent_ms: 4_000,
+            cursor: 0,
+        },
+    ];
+    for case in cases {
+        let (mut core, announcement) = agent_with_run();
+        // The last answer came at 1,070 ms.
+        let now = 1_070 + case.silent_ms;
+        if case.announced {
+            core.on_announcement(now, worker(11).announce(0));
+            let probe = core.list(now, 0).expect("a call to the candidate");
+            assert_eq!(probe.cursor, 0, "{}", case.name);
+        }
+        let list = core.list(now, 0).expect("a call to the worker");
+        assert_eq!(list.cursor, case.cursor, "{}", case.name);
+        if !case.announced {
+            core.on_listing(now + 10, now, &list, worker(10).listing());
+            core.on_orders(now + 20, now, orders(3, &announcement, vec![run()]));
+            let list = core.list(now + 30, 0).expect("a call to the worker");
+            assert_eq!(list.cursor, 40, "{}: after an answer", case.name);
+        }
+    }
+}
