--- a/src/control/member/snapshot.rs
+++ b/src/control/member/snapshot.rs
@@ -13,7 +13,7 @@
 #[derive(Debug)]
 pub(super) struct LogSize {
     bytes: u64,
-    /// Size right after the last snapshot, which covers none of these entries.
+    /// Size right after the last snapshot: that of the entries that it does not cover.
     base_bytes: u64,
 }
 
--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -101,7 +101,7 @@
     listed_ms: Millis,
     /// Time at which the last listing arrived.
     last_response_ms: Millis,
-    /// The same, but counting the time of suspensions since.
+    /// Time at which the last listing arrived; unlike the one above, a suspension does not move it.
     identified_ms: Millis,
     /// Runs that should be active, according to the leader.
     wanted: BTreeSet<Run>,
