--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -15,6 +15,9 @@
 const CANCEL: Duration = Duration::from_millis(3_000);
 const VISIBLE: Duration = Duration::from_millis(3_000);
 
+/// Number of tasks of a large job.
+const MANY: usize = 1_000;
+
 /// Prefixes of the queues with priority 0, 1 and 2.
 const URGENT: &str = "/pufi791/";
 const NORMAL: &str = "/lohu930/";
@@ -143,6 +146,7 @@
         "shape" => shape(record, trouble),
         "crash-loops" => crash_loops(record, trouble),
         "pending" => pending(record, trouble),
+        "many-ends" => many_ends(record, trouble),
         "late-starts" => late_starts(record, trouble),
         "large-orders" => large_orders(record, trouble),
         _ => Err(format!("no such case: {case}")),
@@ -349,3 +353,75 @@
     ));
     Ok((starts.is_empty()).then(|| "LOST: an accepted job had not begun after 25 s".to_owned()))
 }
+
+/// The core is killed while an urgent job preempts many tasks, which end by themselves meanwhile.
+fn many_ends(record: &Record, trouble: bool) -> Result {
+    let mut world = World::start(record, &["b", "a", "a"])?;
+    let id = "00000000000000c1";
+    let body = job(
+        "8000",
+        MANY as u32,
+        "\"cpu\":100,\"memMb\":64",
+        ",\"constraints\":\"b\"",
+    );
+    accepted(world.submit(KEY, &format!("{IDLE}{id}"), &body))?;
+    world.wait_for_starts(id, MANY)?;
+    let begun = world.events(id, "start")[0].at;
+    sleep((begun + Duration::from_millis(7_700)).saturating_duration_since(Instant::now()));
+    let urgent = "00000000000000e1";
+    let body = job(
+        "500",
+        1,
+        "\"cpu\":120000,\"memMb\":1000,\"gpu\":1",
+        ",\"constraints\":\"b\"",
+    );
+    accepted(world.submit(OTHER_KEY, &format!("{URGENT}{urgent}"), &body))?;
+    if trouble {
+        sleep(Duration::from_millis(50));
+        for machine in 0..kit::CORE {
+            world.cluster.kill(machine, "control");
+        }
+        sleep(Duration::from_millis(500));
+        for machine in 0..kit::CORE {
+            let started = world.cluster.spawn(machine, "control", false);
+            started.map_err(|err| err.to_string())?;
+        }
+    }
+    sleep(Duration::from_secs(12));
+    let (done, noted) = (world.events(id, "done"), world.events(id, "noted"));
+    let starts = world.events(id, "start");
+    let lapsed = world.events("", "lapsed");
+    let mut again = 0;
+    for end in &done {
+        let same = |other: &&Event| other.task == end.task && other.run == end.run;
+        let Some(note) = noted.iter().find(same) else {
+            continue;
+        };
+        let has_lapsed = lapsed
+            .iter()
+            .any(|lapse| lapse.minion == end.minion && (end.at..=note.at).contains(&lapse.at));
+        let later = starts
+            .iter()
+            .find(|start| start.task == end.task && start.at > end.at);
+        if let Some(start) = later.filter(|_start| !has_lapsed) {
+            again += 1;
+            record.line(&format!(
+                "{} run {} ended done, run {} was started {} ms later",
+                end.task,
+                end.run,
+                start.run,
+                (start.at - end.at).as_millis()
+            ));
+        }
+    }
+    record.line(&format!(
+        "{} ends done, {} noted, {again} tasks started again, {} lapsed",
+        done.len(),
+        noted.len(),
+        lapsed.len()
+    ));
+    Ok(
+        (again > 0)
+            .then(|| format!("TWICE: {again} tasks were started after a run had ended done")),
+    )
+}
--- a/review/standin-2/minion.rs
+++ b/review/standin-2/minion.rs
@@ -440,6 +440,11 @@
                     .max(expires_ms.min(self.clock_ms() + HOLD_MAX_MS));
             }
             let cursor = body.number("ackCursor").unwrap_or(0);
+            for (number, task, run, _how) in &state.ended {
+                if *number <= cursor {
+                    self.note("noted", task, *run, false);
+                }
+            }
             state.ended.retain(|(number, ..)| *number > cursor);
         }
         let until = Instant::now() + Duration::from_millis(wait_ms);
