--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -12,12 +12,16 @@
 
 /// Bounds of the deployment zucca-orchestra.
 const RECLAIM: Duration = Duration::from_millis(2_700);
+const CONFIG_APPLY: Duration = Duration::from_millis(2_500);
 const CANCEL: Duration = Duration::from_millis(3_000);
 const VISIBLE: Duration = Duration::from_millis(3_000);
 
 /// Number of tasks of a large job.
 const MANY: usize = 1_000;
 
+/// Number of an operator's calls in progress.
+const READS: usize = 8;
+
 /// Prefixes of the queues with priority 0, 1 and 2.
 const URGENT: &str = "/pufi791/";
 const NORMAL: &str = "/lohu930/";
@@ -146,6 +150,7 @@
         "shape" => shape(record, trouble),
         "crash-loops" => crash_loops(record, trouble),
         "pending" => pending(record, trouble),
+        "stale-read" => stale_read(record, trouble),
         "many-ends" => many_ends(record, trouble),
         "late-starts" => late_starts(record, trouble),
         "large-orders" => large_orders(record, trouble),
@@ -425,3 +430,79 @@
             .then(|| format!("TWICE: {again} tasks were started after a run had ended done")),
     )
 }
+
+/// Returns the machine whose control program leads, by the metrics that the deploy file names.
+fn leader(world: &World) -> Option<usize> {
+    (0..kit::CORE).find(|machine| {
+        let addr = world.cluster.metrics(*machine);
+        let answer = kit::call(addr, "GET", "/metrics", &[], "", Duration::from_secs(1));
+        answer.is_some_and(|(_status, body)| {
+            let text = String::from_utf8_lossy(&body);
+            text.lines().any(|line| line == "oriolereel_leader 1")
+        })
+    })
+}
+
+/// The machine that leads freezes while the configuration changes, and is read as it wakes.
+fn stale_read(record: &Record, trouble: bool) -> Result {
+    let world = World::start(record, &["a"])?;
+    let start = Instant::now();
+    let mut version = 7;
+    while start.elapsed() < Duration::from_secs(100) {
+        let Some(frozen) = leader(&world) else {
+            sleep(Duration::from_millis(100));
+            continue;
+        };
+        let froze = Instant::now();
+        if trouble {
+            world.cluster.signal(frozen, "control", "STOP");
+            world.cluster.signal(frozen, "entry", "STOP");
+        }
+        version += 1;
+        if !world.cluster.configure_at(
+            (frozen + 1) % kit::CORE,
+            &configuration(version),
+            Duration::from_millis(2_500),
+        ) {
+            world.cluster.signal(frozen, "entry", "CONT");
+            world.cluster.signal(frozen, "control", "CONT");
+            sleep(Duration::from_millis(1_000));
+            continue;
+        }
+        sleep(CONFIG_APPLY + Duration::from_millis(50));
+        let sent = record.seconds();
+        let addr = world.cluster.control_plane(frozen);
+        let read = move || {
+            let wait = Duration::from_secs(2);
+            kit::call(addr, "GET", "/-/config/read", &[], "", wait)
+        };
+        let reads: Vec<_> = (0..READS).map(|_read| std::thread::spawn(read)).collect();
+        sleep(Duration::from_millis(50));
+        if trouble {
+            world.cluster.signal(frozen, "entry", "CONT");
+            world.cluster.signal(frozen, "control", "CONT");
+        }
+        let lasted = froze.elapsed();
+        let mut versions = Vec::new();
+        for read in reads {
+            let answer = read.join().map_err(|_panic| "a read failed".to_owned())?;
+            if let Some((200, body)) = answer {
+                versions.extend(kit::Json::parse(&body).and_then(|body| body.number("version")));
+            }
+        }
+        record.line(&format!(
+            "machine {frozen} frozen for {lasted:?}, version {version} acknowledged, \
+             reads sent at {sent:.3} give {versions:?}"
+        ));
+        let old: Vec<&u64> = versions.iter().filter(|read| **read < version).collect();
+        if !old.is_empty() {
+            return Ok(Some(format!(
+                "CONFIG: {} reads gave {old:?}, sent more than {CONFIG_APPLY:?} after the \
+                 acknowledgement of {version}",
+                old.len()
+            )));
+        }
+        sleep(Duration::from_millis(700));
+    }
+    Ok(None)
+}
--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -495,33 +495,45 @@
         });
     }
 
+    /// Address of the metrics of the control program on a machine.
+    pub fn metrics(&self, machine: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(machine), 9102)
+    }
+
     /// Sends the configuration until a machine has acknowledged it.
     pub fn configure(&self, document: &str) -> bool {
         let until = Instant::now() + Duration::from_secs(30);
         let mut machine = 0;
         while Instant::now() < until {
-            let answer = call(
-                self.control_plane(machine % CORE),
-                "POST",
-                "/-/config/replace",
-                &[],
-                document,
-                Duration::from_secs(2),
-            );
-            if answer
-                .as_ref()
-                .is_some_and(|(status, _body)| *status == 200)
-            {
-                self.record.line("configuration acknowledged");
+            if self.configure_at(machine % CORE, document, Duration::from_secs(1)) {
                 return true;
             }
             machine += 1;
-            std::thread::sleep(Duration::from_millis(200));
         }
         self.record.line("configuration was never acknowledged");
         false
     }
 
+    /// Sends the configuration to one machine until it has acknowledged it, for a time.
+    pub fn configure_at(&self, machine: usize, document: &str, time: Duration) -> bool {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            let addr = self.control_plane(machine);
+            let path = "/-/config/replace";
+            let answer = call(addr, "POST", path, &[], document, Duration::from_secs(1));
+            let status = answer.map(|(status, _body)| status);
+            let shown: String = document.chars().take(12).collect();
+            self.record.line(&format!(
+                "operator: POST {path} {shown} to machine {machine} -> {status:?}"
+            ));
+            if status == Some(200) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        false
+    }
+
     /// Sends a client's request with a tenant's key, and records it with its answer.
     pub fn client(
         &self,
