--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -365,6 +365,7 @@
             0 => 0,
             _ => self.options.bounds.stop_ms + UNREADABLE_MARGIN_MS,
         };
+        let known = self.absent.len();
         for (run, removal) in &self.removals {
             let is_confirmed = removal
                 .confirmed_ms
@@ -375,6 +376,14 @@
                 self.report_due = true;
             }
         }
+        let runs = self.absent.len() - known;
+        if runs > 0 {
+            let last_end = listing.ended.iter().map(|ended| ended.number).max();
+            log::info!(runs = runs, active = listing.active.len(), ended = listing.ended.len(),
+                last_end = last_end.unwrap_or(0), cursor = self.cursor,
+                unreadable = listing.unreadable_rows;
+                "stopped runs are absent from the listing");
+        }
     }
 
     /// Handles the worker's answer to a start. Returns the calls to make next.
--- a/src/flow/planner/report.rs
+++ b/src/flow/planner/report.rs
@@ -76,6 +76,7 @@
         let cursor = self.projected.worker(key).map_or(0, |worker| worker.cursor);
         for ended in report.ended {
             if ended.number > cursor {
+                self.count_contradiction(key, &ended);
                 self.update_failures(key, ended.run, ended.end);
                 self.record_end(key, ended);
             }
@@ -143,6 +144,22 @@
         self.dirty |= was_unusable;
     }
 
+    /// Logs and counts the end of a run that the log has ended otherwise, as after it was judged absent
+    /// or its worker was declared lost.
+    fn count_contradiction(&self, key: WorkerKey, ended: &Ended) {
+        let run = ended.run;
+        if self.is_assigned(key, run) || self.predecessor_with(key, run).is_some() {
+            return;
+        }
+        let label = format!("{:?}", ended.end).to_lowercase();
+        telemetry::CONTRADICTED_ENDS
+            .with_label_values(&[&label])
+            .inc();
+        log::warn!(job:% = format_args!("{:016x}", run.task.job), step = run.task.step,
+            index = run.task.index, run = run.number, key = key.0, number = ended.number;
+            "run has ended on its worker as {label}, but the log had ended it before");
+    }
+
     /// Records the end of a run, and logs if that ends the job.
     fn record_end(&mut self, key: WorkerKey, ended: Ended) {
         let Ended {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -384,6 +384,15 @@
     )
 });
 
+/// Ends that workers listed after the log had ended the run otherwise, by kind of end.
+pub static CONTRADICTED_ENDS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter_vec(
+        "oriolereel_contradicted_ends_total",
+        "Ends that a worker listed after the log had ended the run otherwise",
+        &["end"],
+    )
+});
+
 /// Lease operations by verb and outcome.
 pub static LEASES: LazyLock<IntCounterVec> = LazyLock::new(|| {
     counter_vec(
