--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -4,6 +4,7 @@
 //! The agent is the only caller of its worker and stores nothing durably. After a restart it learns
 //! from the worker's own lists what is running.
 
+mod absence;
 mod incarnation;
 mod lease;
 mod order;
@@ -31,9 +32,6 @@
 /// Maximum time that the leader holds a poll for orders.
 pub const POLL_WAIT_MS: Millis = 500;
 
-/// Margin of the time that a run needs to stop, where a row of the listing cannot be read.
-const UNREADABLE_MARGIN_MS: Millis = 300;
-
 /// Number of unconfirmed attempts to start a run after which the run is stopped and reported as
 /// absent.
 const MAX_START_ATTEMPTS: u32 = 12;
@@ -357,35 +355,6 @@
         self.due_effects(now)
     }
 
-    /// Marks runs as absent whose stop was confirmed before the listing was requested and that appear
-    /// neither among the active nor among the ended runs. A row that could not be read may stand for
-    /// a run that is still stopping, so the time of a stop must have passed as well then.
-    fn find_absent(&mut self, sent_ms: Millis, listing: &Listing) {
-        let stop_ms = match listing.unreadable_rows {
-            0 => 0,
-            _ => self.options.bounds.stop_ms + UNREADABLE_MARGIN_MS,
-        };
-        let known = self.absent.len();
-        for (run, removal) in &self.removals {
-            let is_confirmed = removal
-                .confirmed_ms
-                .is_some_and(|at_ms| at_ms.saturating_add(stop_ms) < sent_ms);
-            let is_active = listing.active.iter().any(|active| active.run == *run);
-            let has_ended = listing.ended.iter().any(|ended| ended.run == *run);
-            if is_confirmed && !is_active && !has_ended && self.absent.insert(*run) {
-                self.report_due = true;
-            }
-        }
-        let runs = self.absent.len() - known;
-        if runs > 0 {
-            let last_end = listing.ended.iter().map(|ended| ended.number).max();
-            log::info!(runs = runs, active = listing.active.len(), ended = listing.ended.len(),
-                last_end = last_end.unwrap_or(0), cursor = self.cursor,
-                unreadable = listing.unreadable_rows;
-                "stopped runs are absent from the listing");
-        }
-    }
-
     /// Handles the worker's answer to a start. Returns the calls to make next.
     pub fn on_started(&mut self, now: Millis, run: Run, outcome: Outcome) -> Vec<Effect> {
         let Some(order) = self.orders.get_mut(&run) else {
@@ -432,15 +401,6 @@
         self.due_effects(now)
     }
 
-    /// Reports whether a listing is needed at once, to find out if a run whose stop was confirmed is
-    /// absent.
-    pub fn needs_listing(&self) -> bool {
-        let removals = self.removals.iter();
-        removals
-            .filter(|(run, _removal)| !self.absent.contains(run))
-            .any(|(_run, removal)| removal.confirmed_ms.is_some())
-    }
-
     /// Reports whether the worker answers the next list call without waiting, as it does if its listing
     /// holds ends that the leader has not acknowledged.
     pub fn is_answered_at_once(&self, now: Millis) -> bool {
--- a/src/flow/agent/incarnation.rs
+++ b/src/flow/agent/incarnation.rs
@@ -5,11 +5,9 @@
 //! before it has ended then. A deregistration ends nothing by itself: no lease is extended after it,
 //! and the incarnation counts as ended once its leases have expired.
 
-use std::collections::BTreeSet;
-
+use crate::flow::Millis;
 use crate::flow::agent::{Announcement, Core, Effect, List, Listing, Stop};
 use crate::flow::message::Active;
-use crate::flow::{Millis, Run};
 
 /// Time after its last announcement for which a candidate is probed.
 const CANDIDATE_TIMEOUT_MS: Millis = 5_000;
@@ -294,13 +292,4 @@
         let is_away = self.is_leaving || !self.is_responsive(now);
         is_away && now > self.lease_end_ms && self.incarnation().is_some()
     }
-
-    /// Marks all runs of an expired incarnation as absent, except those whose end it has listed.
-    pub(super) fn mark_expired(&mut self) {
-        let ended = self.listing.iter().flat_map(|listing| &listing.ended);
-        let ended: BTreeSet<Run> = ended.map(|ended| ended.run).collect();
-        let runs = self.wanted.iter().chain(self.removals.keys());
-        let lapsed = runs.filter(|run| !ended.contains(run)).copied();
-        self.absent.extend(lapsed);
-    }
 }
--- a/src/flow/agent/order.rs
+++ b/src/flow/agent/order.rs
@@ -58,7 +58,10 @@
     /// Time on the worker's clock when it answered.
     pub clock_ms: Millis,
     pub active: Vec<Active>,
+    /// Ends that are not acknowledged, the oldest first.
     pub ended: Vec<Ended>,
+    /// Whether the worker may hold ends that are not listed, as an answer has a limited number of them.
+    pub has_more_ends: bool,
     /// Number of rows that could not be read, each of which may stand for any run.
     pub unreadable_rows: usize,
 }
--- a/tests/tests/flow.rs
+++ b/tests/tests/flow.rs
@@ -9,6 +9,8 @@
 mod agent;
 #[path = "flow/call.rs"]
 mod call;
+#[path = "flow/ends.rs"]
+mod ends;
 #[path = "flow/leader.rs"]
 mod leader;
 #[path = "flow/life.rs"]
--- a/tests/tests/flow/call.rs
+++ b/tests/tests/flow/call.rs
@@ -45,7 +45,10 @@
                 _ => {}
             }
         }
-        let listing = self.answer(machine, self.workers[machine].listing());
+        let mut listing = self.workers[machine].listing();
+        listing.has_more_ends = listing.ended.len() >= self.max_listed_ends;
+        listing.ended.truncate(self.max_listed_ends);
+        let listing = self.answer(machine, listing);
         listing.map_or(Answer::Unknown, Answer::Listing)
     }
 
--- a/tests/tests/flow/worker.rs
+++ b/tests/tests/flow/worker.rs
@@ -103,6 +103,7 @@
             clock_ms: self.clock_ms,
             active: active.collect(),
             ended: self.ended.clone(),
+            has_more_ends: false,
             unreadable_rows: 0,
         }
     }
--- a/tests/tests/flow/world.rs
+++ b/tests/tests/flow/world.rs
@@ -81,6 +81,8 @@
     pub bounds: Bounds,
     /// Number of workers that may be lost for good. Gangs fit into the others.
     pub spare: usize,
+    /// Maximum number of ends in one listing.
+    pub max_listed_ends: usize,
 }
 
 impl World {
@@ -107,6 +109,7 @@
             violations: Vec::new(),
             bounds,
             spare: 0,
+            max_listed_ends: usize::MAX,
         };
         for machine in 0..workers {
             world.workers.push(Worker::new(machine, 1));
