--- a/src/flow/agent/incarnation.rs
+++ b/src/flow/agent/incarnation.rs
@@ -287,9 +287,10 @@
     }
 
     /// Reports whether no run of the incarnation can still be active: it no longer answers or is
-    /// leaving, and every lease that it or a successor under its name may have has expired.
+    /// leaving, and every lease that it or a successor under its name may have has expired. One that still
+    /// answers has time to list all its ends.
     pub(super) fn has_expired(&self, now: Millis) -> bool {
-        let is_away = self.is_leaving || !self.is_responsive(now);
+        let is_away = self.is_leaving && !self.has_more_ends() || !self.is_responsive(now);
         is_away && now > self.lease_end_ms && self.incarnation().is_some()
     }
 }
--- a/tests/tests/flow/ends.rs
+++ b/tests/tests/flow/ends.rs
@@ -121,6 +121,27 @@
     assert_eq!(setup.absent(1_340), [run(2)]);
 }
 
+// Guards against finished tasks that are started again after a worker has deregistered: the listings did not
+// reach as far as their ends when the leases expired.
+#[test]
+fn a_leaving_worker_has_not_ended_before_all_its_ends_are_listed() {
+    let mut setup = Setup::new();
+    let both = vec![run(0), run(1)];
+    let name = setup.announcement.info.name.clone();
+    setup.core.on_deregistered(1_100, &name, Some(10));
+    for now in (1_200..20_000).step_by(200) {
+        setup.order(now, 0, both.clone(), Vec::new());
+        setup.list(now + 10, &[], vec![end(0)], true);
+        let report = setup.core.report(now + 30).expect("a report");
+        assert!(!report.expired, "{now}");
+    }
+    setup.order(20_000, 1, vec![run(1)], Vec::new());
+    setup.list(20_010, &[], vec![end(1)], false);
+    let report = setup.core.report(20_030).expect("a report");
+    assert_eq!(report.absent, []);
+    assert!(report.expired);
+}
+
 /// Performs actions in a new world whose workers list a few ends at a time.
 fn violations(seed: u64, max_listed_ends: usize, actions: &[Action]) -> Vec<String> {
     let bounds = Bounds {
