--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -335,7 +335,9 @@
             self.report_due = true;
         }
         self.find_absent(sent_ms, &listing);
+        // An end that is not listed may be that of a run which was meant for an earlier incarnation.
         let holds_own = listing.unreadable_rows == 0
+            && !listing.has_more_ends
             && listing
                 .active
                 .iter()
--- a/tests/tests/flow/ends.rs
+++ b/tests/tests/flow/ends.rs
@@ -142,6 +142,30 @@
     assert!(report.expired);
 }
 
+// Guards against an earlier incarnation whose runs are given up while the list of ends may hide one of them.
+#[test]
+fn a_worker_is_settled_only_by_a_listing_that_shows_all_ends() {
+    let mut setup = Setup::new();
+    let mut next = Worker {
+        name: setup.worker.name.clone(),
+        ..Worker::new(0, 11)
+    };
+    setup.announcement = next.announce(0);
+    setup.worker = next;
+    setup
+        .core
+        .on_announcement(1_100, setup.announcement.clone());
+    let settled = |setup: &mut Setup, now| setup.core.report(now).expect("a report").settled;
+    for now in [1_200, 1_300] {
+        setup.order(now, 0, Vec::new(), Vec::new());
+        setup.list(now + 10, &[], vec![end(0)], true);
+    }
+    assert_eq!(settled(&mut setup, 1_330), None);
+    setup.order(1_400, 1, Vec::new(), Vec::new());
+    setup.list(1_410, &[], vec![end(1)], false);
+    assert_eq!(settled(&mut setup, 1_430), Some(WorkerKey(3)));
+}
+
 /// Performs actions in a new world whose workers list a few ends at a time.
 fn violations(seed: u64, max_listed_ends: usize, actions: &[Action]) -> Vec<String> {
     let bounds = Bounds {
