--- a/src/flow/planner.rs
+++ b/src/flow/planner.rs
@@ -8,6 +8,7 @@
 mod report;
 mod reserve;
 mod search;
+mod shapes;
 mod wait_reasons;
 mod watch;
 mod watched;
@@ -126,6 +127,8 @@
     /// Workers with a recent failure.
     failing: BTreeSet<WorkerKey>,
     claims: BTreeMap<UnitId, Claim>,
+    /// Waiting units within a guarantee that were logged because they fit on no workers.
+    blocked: BTreeSet<UnitId>,
     /// Decisions that the log has not received yet.
     commands: Vec<Command>,
     /// Whether something has changed since the last pass.
@@ -152,6 +155,7 @@
             observations: BTreeMap::new(),
             failing: BTreeSet::new(),
             claims: BTreeMap::new(),
+            blocked: BTreeSet::new(),
             commands: Vec::new(),
             dirty: true,
             last_pass_ms: 0,
--- a/src/flow/planner/pass.rs
+++ b/src/flow/planner/pass.rs
@@ -57,6 +57,7 @@
         let projected = &self.projected;
         self.claims
             .retain(|unit, claim| now < claim.expires_ms && is_waiting(projected, *unit));
+        self.blocked.retain(|unit| is_waiting(projected, *unit));
         let guaranteed_jobs = self.guaranteed_jobs();
         let mut context = Context {
             guaranteed_jobs,
@@ -160,6 +161,9 @@
                 false
             }
             None => {
+                if context.guaranteed_jobs.contains(&id.job) {
+                    self.log_blocked(context, id, &step, &service);
+                }
                 self.reserve(context, id, &step, unit.tasks, &service);
                 false
             }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -393,6 +393,14 @@
     )
 });
 
+/// Units covered by a guarantee that found no workers, even by preemption.
+pub static BLOCKED_GUARANTEES: LazyLock<IntCounter> = LazyLock::new(|| {
+    counter(
+        "oriolereel_guarantees_blocked_total",
+        "Gangs and tasks within a guarantee that fitted on no workers, even by preemption",
+    )
+});
+
 /// Lease operations by verb and outcome.
 pub static LEASES: LazyLock<IntCounterVec> = LazyLock::new(|| {
     counter_vec(
