--- a/src/flow/job.rs
+++ b/src/flow/job.rs
@@ -56,6 +56,21 @@
         }
     }
 
+    /// Returns the part of this amount that has the given number of its accelerators, which is at most
+    /// the whole amount. The other resources are rounded down.
+    pub fn share(&self, accelerators: u64) -> Self {
+        let part = |all: u64| {
+            let product = u128::from(all) * u128::from(accelerators.min(self.accelerators));
+            let part = product.checked_div(u128::from(self.accelerators));
+            part.map_or(0, |part| part as u64)
+        };
+        Self {
+            millicpus: part(self.millicpus),
+            memory_mb: part(self.memory_mb),
+            accelerators,
+        }
+    }
+
     /// Returns the larger of two amounts, separately for each resource.
     pub fn max(&self, other: &Self) -> Self {
         Self {
--- a/src/flow/place.rs
+++ b/src/flow/place.rs
@@ -46,6 +46,8 @@
     pub free: Amount,
     /// Number of tasks of the same step on the worker.
     pub step_tasks: u32,
+    /// Maximum number of the unit's tasks that the worker may take.
+    pub max_tasks: u32,
     /// Time from which on the worker is reserved for another unit.
     pub reserved_from_ms: Option<Millis>,
     /// Whether the unit has failed on the worker, or any run has failed there since the last success
@@ -76,7 +78,7 @@
             0 => request.tasks,
             max => max.saturating_sub(self.step_tasks),
         };
-        let limit = u64::from(request.tasks.min(max_tasks));
+        let limit = u64::from(request.tasks.min(max_tasks).min(self.max_tasks));
         self.free.count_fitting(&request.step.per_task, limit) as u32
     }
 
@@ -268,6 +270,8 @@
     candidate: &'o Candidate<'a>,
     free: Amount,
     step_tasks: u32,
+    /// Number of the unit's tasks placed so far.
+    placed: u32,
     assignment: Option<Assignment>,
 }
 
@@ -294,6 +298,7 @@
                 candidate,
                 free: candidate.free,
                 step_tasks: candidate.step_tasks,
+                placed: 0,
                 assignment: None,
             };
             trial.slots.insert(candidate.key, slot);
@@ -312,6 +317,7 @@
         }
         let max_per_worker = self.request.step.max_per_worker;
         let admits = slot.candidate.admits(self.request)
+            && slot.placed < slot.candidate.max_tasks
             && (max_per_worker == 0 || slot.step_tasks < max_per_worker);
         if !admits {
             return;
@@ -347,6 +353,7 @@
         if let Some(slot) = self.slots.get_mut(&key) {
             slot.free = slot.free.minus(&self.request.step.per_task);
             slot.step_tasks += 1;
+            slot.placed += 1;
         }
         for key in changed {
             self.update(key);
--- a/src/flow/planner.rs
+++ b/src/flow/planner.rs
@@ -4,11 +4,11 @@
 //! once, before they are committed to the log. Later decisions build on them, but nothing else acts
 //! on a decision before it is committed.
 
+mod cells;
 mod pass;
 mod report;
 mod reserve;
 mod search;
-mod shapes;
 mod wait_reasons;
 mod watch;
 mod watched;
--- a/src/flow/planner/pass.rs
+++ b/src/flow/planner/pass.rs
@@ -7,6 +7,7 @@
 use crate::flow::command::Command;
 use crate::flow::job::{Amount, Step};
 use crate::flow::place::{self, Request, Scope, Victim, Victims};
+use crate::flow::planner::cells::Spare;
 use crate::flow::planner::reserve::RunEnd;
 use crate::flow::planner::search::Search;
 use crate::flow::planner::{CONTACT_TIMEOUT_MS, Claim, Planner};
@@ -46,6 +47,8 @@
     /// Reserved workers, and the time from which on they are reserved.
     pub(super) reserved: BTreeMap<WorkerKey, Millis>,
     pub(super) reservations: usize,
+    /// What the account of the last covered unit may cover.
+    pub(super) spare: Option<Spare>,
     /// Estimated ends of all runs, until another run is placed.
     pub(super) ends: Option<Rc<Vec<RunEnd>>>,
 }
@@ -66,6 +69,7 @@
             claimed: BTreeMap::new(),
             reserved: BTreeMap::new(),
             reservations: 0,
+            spare: None,
             ends: None,
         };
         for (unit, claim) in &self.claims {
@@ -148,8 +152,15 @@
         let Some(unit) = self.projected.unit(id).cloned() else {
             return false;
         };
-        self.release_claim(context, id, &step);
-        match self.find_workers(context, id, &unit, &step) {
+        let claimed = self.release_claim(context, id, &step);
+        let found = self.find_workers(context, id, &unit, &step, &claimed);
+        if let Some((workers, _stopped)) = &found
+            && context.guaranteed_jobs.contains(&id.job)
+            && let Some(spare) = &mut context.spare
+        {
+            spare.subtract(workers, &step.per_task);
+        }
+        match found {
             Some((workers, stopped)) if stopped.is_empty() => {
                 self.place(id, &unit, workers);
                 context.victims.clear();
@@ -170,13 +181,15 @@
         }
     }
 
-    /// Finds workers for a unit, and the runs that must be preempted there.
+    /// Finds workers for a unit, and the runs that must be preempted there. The unit has just given up its
+    /// claim on some workers.
     fn find_workers(
         &self,
         context: &mut Context,
         id: UnitId,
         unit: &Unit,
         step: &Step,
+        claimed: &[WorkerKey],
     ) -> Option<(Vec<WorkerKey>, Vec<UnitId>)> {
         let job = self.projected.job(id.job)?;
         let (service, priority) = (&job.queue.service, job.queue.priority);
@@ -195,27 +208,43 @@
             estimated_end_ms,
         };
         let scopes = self.scopes(unit, priority);
-        let search = Search {
-            planner: self,
-            context,
-            id,
-            unit,
-            step,
-            service: self.fleet.service(service)?,
-        };
-        let mut placements = scopes.iter().map(|scope| search.place(&request(scope)));
-        if let Some(workers) = placements.find_map(|found| found) {
-            return Some((workers, Vec::new()));
+        let service = self.fleet.service(service)?;
+        if is_guaranteed {
+            self.update_spare(context, id, claimed);
         }
-        if !may_reclaim {
-            return None;
+        // What accounts need now goes before what they may need.
+        let attempts = if is_guaranteed {
+            &[true, false][..]
+        } else {
+            &[false]
+        };
+        for is_limited in attempts.iter().copied() {
+            let search = Search {
+                planner: self,
+                context,
+                id,
+                unit,
+                step,
+                service,
+                is_limited,
+            };
+            let mut placements = scopes.iter().map(|scope| search.place(&request(scope)));
+            if let Some(workers) = placements.find_map(|found| found) {
+                return Some((workers, Vec::new()));
+            }
+            if !may_reclaim {
+                continue;
+            }
+            let candidates = search.candidates(service.workers());
+            let victims = self.known_victims(context, is_guaranteed, priority);
+            let mut preemptions = scopes
+                .iter()
+                .map(|scope| place::reclaim(&request(scope), &candidates, &victims));
+            if let Some(found) = preemptions.find_map(|found| found) {
+                return Some(found);
+            }
         }
-        let candidates = search.candidates(search.service.workers());
-        let victims = self.known_victims(context, is_guaranteed, priority);
-        let mut preemptions = scopes
-            .iter()
-            .map(|scope| place::reclaim(&request(scope), &candidates, &victims));
-        preemptions.find_map(|found| found)
+        None
     }
 
     /// Returns the runs that may be preempted, from this pass's cache if nothing was placed or stopped
@@ -301,16 +330,18 @@
         );
     }
 
-    /// Releases a unit's own claim, so that the search regards the claimed capacity as free.
-    fn release_claim(&mut self, context: &mut Context, id: UnitId, step: &Step) {
+    /// Releases a unit's own claim, so that the search regards the claimed capacity as free. Returns the
+    /// claimed workers.
+    fn release_claim(&mut self, context: &mut Context, id: UnitId, step: &Step) -> Vec<WorkerKey> {
         let Some(claim) = self.claims.remove(&id) else {
-            return;
+            return Vec::new();
         };
         for worker in &claim.workers {
             if let Some(held) = context.claimed.get_mut(worker) {
                 *held = held.minus(&step.per_task);
             }
         }
+        claim.workers
     }
 
     /// Reports whether a worker may get new runs now.
--- a/src/flow/planner/search.rs
+++ b/src/flow/planner/search.rs
@@ -21,6 +21,8 @@
     pub unit: &'c Unit,
     pub step: &'c Step,
     pub service: &'p Service,
+    /// Whether the unit is limited to what its account may cover on each worker.
+    pub is_limited: bool,
 }
 
 impl<'p> Search<'p, '_> {
@@ -117,11 +119,21 @@
             info: &worker.info,
             free: self.free(key).minus(&claimed),
             step_tasks: self.step_tasks(worker),
+            max_tasks: self.max_tasks(key),
             reserved_from_ms: self.context.reserved.get(&key).copied(),
             has_recent_failure: has_failed || planner.has_recent_failure(key),
         })
     }
 
+    fn max_tasks(&self, key: WorkerKey) -> u32 {
+        let tasks = self.unit.tasks;
+        let spare = self.context.spare.as_ref();
+        let spare = spare.filter(|_spare| self.is_limited);
+        spare.map_or(tasks, |spare| {
+            spare.max_tasks(key, &self.step.per_task, tasks)
+        })
+    }
+
     fn free(&self, key: WorkerKey) -> Amount {
         self.service.free(key).unwrap_or_default()
     }
--- a/tests/tests/flow.rs
+++ b/tests/tests/flow.rs
@@ -9,6 +9,8 @@
 mod agent;
 #[path = "flow/call.rs"]
 mod call;
+#[path = "flow/calm.rs"]
+mod calm;
 #[path = "flow/ends.rs"]
 mod ends;
 #[path = "flow/leader.rs"]
@@ -21,6 +23,8 @@
 mod oracle;
 #[path = "flow/place.rs"]
 mod place;
+#[path = "flow/shapes.rs"]
+mod shapes;
 #[path = "flow/worker.rs"]
 mod worker;
 #[path = "flow/world.rs"]
--- a/tests/tests/flow/place.rs
+++ b/tests/tests/flow/place.rs
@@ -139,6 +139,7 @@
                 info: &info,
                 free: amount(*free),
                 step_tasks: 0,
+                max_tasks: tasks,
                 reserved_from_ms: None,
                 has_recent_failure: key.0 % 5 == 4,
             })
