--- a/src/flow/planner/displace.rs
+++ b/src/flow/planner/displace.rs
@@ -6,7 +6,7 @@
 use crate::flow::job::Amount;
 use crate::flow::place::{self, Candidate, Request, Scope, Victim, Victims};
 use crate::flow::planner::Planner;
-use crate::flow::planner::pass::Context;
+use crate::flow::planner::pass::{Context, Placement};
 use crate::flow::planner::search::Search;
 use crate::flow::registry::Job;
 use crate::flow::{JobId, Run, UnitId, WorkerKey};
@@ -50,7 +50,7 @@
         request: &Request<'_>,
         candidates: &[Candidate<'_>],
         victims: &Victims,
-    ) -> Option<(Vec<WorkerKey>, Vec<UnitId>)> {
+    ) -> Option<Placement> {
         let movable = self.movable(context, id.job);
         if movable.is_empty() {
             return None;
@@ -86,28 +86,12 @@
         victims: &Victims,
         changes: &mut Changes,
     ) -> Option<Vec<UnitId>> {
-        let (job, step) = self.projected.step(id)?;
-        let unit = self.projected.unit(id)?;
-        let service = self.fleet.service(&job.queue.service)?;
-        let search = Search {
-            planner: self,
-            context,
-            id,
-            unit,
-            step,
-            service,
-            is_limited: false,
-        };
-        let mut candidates = search.candidates(service.workers());
+        let search = Search::new(self, context, id, false)?;
+        let request = search.request(Scope::Anywhere);
+        let mut candidates = search.all_candidates();
         for candidate in &mut candidates {
             candidate.free = changes.apply(candidate.key, &candidate.free);
         }
-        let request = Request {
-            step,
-            tasks: unit.tasks,
-            scope: Scope::Anywhere,
-            estimated_end_ms: self.wall_now.saturating_add(step.estimate_ms),
-        };
         let (workers, stopped) = place::reclaim(&request, &candidates, victims)?;
         for victim in victims
             .all()
@@ -116,7 +100,7 @@
         {
             changes.release(&victim.held);
         }
-        changes.take(&workers, &step.per_task);
+        changes.take(&workers, &request.step.per_task);
         Some(stopped)
     }
 
--- a/src/flow/planner/pass.rs
+++ b/src/flow/planner/pass.rs
@@ -33,6 +33,13 @@
 /// first.
 type Rank = (bool, u32, Millis, UnitId);
 
+/// Which runs may be preempted: whether the unit that needs their capacity is covered by a guarantee, and
+/// its priority.
+type VictimKind = (bool, u32);
+
+/// Workers for a unit, and the units that must stop there.
+pub(super) type Placement = (Vec<WorkerKey>, Vec<UnitId>);
+
 /// State of one pass.
 pub(super) struct Context {
     /// Jobs that are covered by their account's guarantee.
@@ -40,8 +47,8 @@
     /// Largest free amount of each resource on any single worker, by service. A task that does not
     /// fit into it fits on no worker, which saves the search.
     max_free: map::Map<String, Amount>,
-    /// Runs that may be preempted, by guarantee and priority of the unit that needs their capacity.
-    victims: map::Map<(bool, u32), Rc<Victims>>,
+    /// Runs that may be preempted.
+    victims: map::Map<VictimKind, Rc<Victims>>,
     /// Capacity that is being reclaimed, by worker.
     pub(super) claimed: BTreeMap<WorkerKey, Amount>,
     /// Reserved workers, and the time from which on they are reserved.
@@ -153,7 +160,7 @@
             return false;
         };
         let claimed = self.release_claim(context, id, &step);
-        let found = self.find_workers(context, id, &unit, &step, &claimed);
+        let found = self.find_workers(context, id, &claimed);
         if let Some((workers, _stopped)) = &found
             && context.guaranteed_jobs.contains(&id.job)
             && let Some(spare) = &mut context.spare
@@ -187,97 +194,85 @@
         &self,
         context: &mut Context,
         id: UnitId,
-        unit: &Unit,
-        step: &Step,
         claimed: &[WorkerKey],
-    ) -> Option<(Vec<WorkerKey>, Vec<UnitId>)> {
-        let job = self.projected.job(id.job)?;
-        let (service, priority) = (&job.queue.service, job.queue.priority);
+    ) -> Option<Placement> {
+        let (job, step) = self.projected.step(id)?;
+        let unit = self.projected.unit(id)?;
+        let priority = job.queue.priority;
         let estimated_end_ms = self.wall_now.saturating_add(step.estimate_ms);
         let is_guaranteed = context.guaranteed_jobs.contains(&id.job);
         let may_reclaim =
             is_guaranteed || priority == 0 && estimated_end_ms <= job.due_ms(id.occurrence);
-        let fits = self.max_free(context, service).fits(&step.per_task);
-        if !fits && !may_reclaim {
+        let max_free = self.max_free(context, &job.queue.service);
+        if !may_reclaim && !max_free.fits(&step.per_task) {
             return None;
         }
-        let request = |scope: &Scope| Request {
-            step,
-            tasks: unit.tasks,
-            scope: *scope,
-            estimated_end_ms,
-        };
         let scopes = self.scopes(unit, priority);
-        let service = self.fleet.service(service)?;
-        if is_guaranteed {
-            self.update_spare(context, id, claimed);
+        if !is_guaranteed {
+            let victims = may_reclaim.then_some((false, priority));
+            return self.find_or_reclaim(context, id, scopes, victims, false);
         }
+        self.update_spare(context, id, claimed);
         // What accounts need now goes before what they may need.
-        let attempts = if is_guaranteed {
-            &[true, false][..]
-        } else {
-            &[false]
-        };
-        for is_limited in attempts.iter().copied() {
-            let search = Search {
-                planner: self,
-                context,
-                id,
-                unit,
-                step,
-                service,
-                is_limited,
-            };
-            let mut placements = scopes.iter().map(|scope| search.place(&request(scope)));
-            if let Some(workers) = placements.find_map(|found| found) {
-                return Some((workers, Vec::new()));
-            }
-            if !may_reclaim {
-                continue;
-            }
-            let candidates = search.candidates(service.workers());
-            let victims = self.known_victims(context, is_guaranteed, priority);
-            let mut preemptions = scopes
-                .iter()
-                .map(|scope| place::reclaim(&request(scope), &candidates, &victims));
-            if let Some(found) = preemptions.find_map(|found| found) {
-                return Some(found);
-            }
-        }
-        if !is_guaranteed {
-            return None;
+        let victims = Some((true, priority));
+        let found = self.find_or_reclaim(context, id, scopes, victims, true);
+        let found = found.or_else(|| self.find_or_reclaim(context, id, scopes, victims, false));
+        found.or_else(|| self.find_displacing(context, id, scopes))
+    }
+
+    /// Finds workers in free capacity, or else by preempting the victims of the given kind, if any.
+    fn find_or_reclaim(
+        &self,
+        context: &mut Context,
+        id: UnitId,
+        scopes: &[Scope],
+        victims: Option<VictimKind>,
+        is_limited: bool,
+    ) -> Option<Placement> {
+        let search = Search::new(self, context, id, is_limited)?;
+        let mut placements = scopes
+            .iter()
+            .map(|scope| search.place(&search.request(*scope)));
+        if let Some(workers) = placements.find_map(|found| found) {
+            return Some((workers, Vec::new()));
         }
-        let search = Search {
-            planner: self,
-            context,
-            id,
-            unit,
-            step,
-            service,
-            is_limited: false,
-        };
-        let candidates = search.candidates(service.workers());
-        let victims = self.known_victims(context, true, priority);
-        let mut displacements = scopes
+        let kind = victims?;
+        let requests: Vec<Request<'_>> =
+            scopes.iter().map(|scope| search.request(*scope)).collect();
+        let candidates = search.all_candidates();
+        let victims = self.known_victims(context, kind);
+        let mut preemptions = requests
             .iter()
-            .map(|scope| self.displace(context, id, &request(scope), &candidates, &victims));
+            .map(|request| place::reclaim(request, &candidates, &victims));
+        preemptions.find_map(|found| found)
+    }
+
+    /// Finds workers for a covered unit where other covered runs must give way.
+    fn find_displacing(
+        &self,
+        context: &mut Context,
+        id: UnitId,
+        scopes: &[Scope],
+    ) -> Option<Placement> {
+        let victims = self.known_victims(context, (true, 0));
+        let search = Search::new(self, context, id, false)?;
+        let candidates = search.all_candidates();
+        let mut displacements = scopes.iter().map(|scope| {
+            let request = search.request(*scope);
+            self.displace(context, id, &request, &candidates, &victims)
+        });
         displacements.find_map(|found| found)
     }
 
     /// Returns the runs that may be preempted, from this pass's cache if nothing was placed or stopped
     /// since.
-    fn known_victims(
-        &self,
-        context: &mut Context,
-        is_guaranteed: bool,
-        priority: u32,
-    ) -> Rc<Victims> {
-        let key = (is_guaranteed, priority);
-        if let Some(victims) = context.victims.get(&key) {
+    fn known_victims(&self, context: &mut Context, kind: VictimKind) -> Rc<Victims> {
+        if let Some(victims) = context.victims.get(&kind) {
             return Rc::clone(victims);
         }
+        let (is_guaranteed, priority) = kind;
         let victims = Rc::new(Victims::new(self.victims(context, is_guaranteed, priority)));
-        context.victims.insert(key, Rc::clone(&victims));
+        context.victims.insert(kind, Rc::clone(&victims));
         victims
     }
 
--- a/src/flow/planner/search.rs
+++ b/src/flow/planner/search.rs
@@ -15,17 +15,46 @@
 
 /// Everything that decides where a unit may be placed.
 pub(super) struct Search<'p, 'c> {
-    pub planner: &'p Planner,
-    pub context: &'c Context,
-    pub id: UnitId,
-    pub unit: &'c Unit,
-    pub step: &'c Step,
-    pub service: &'p Service,
+    planner: &'p Planner,
+    context: &'c Context,
+    id: UnitId,
+    unit: &'p Unit,
+    step: &'p Step,
+    service: &'p Service,
     /// Whether the unit is limited to what its account may cover on each worker.
-    pub is_limited: bool,
+    is_limited: bool,
 }
 
-impl<'p> Search<'p, '_> {
+impl<'p, 'c> Search<'p, 'c> {
+    /// Creates a search, if the unit's job is stored and its service has workers.
+    pub fn new(
+        planner: &'p Planner,
+        context: &'c Context,
+        id: UnitId,
+        is_limited: bool,
+    ) -> Option<Self> {
+        let (job, step) = planner.projected.step(id)?;
+        Some(Self {
+            planner,
+            context,
+            id,
+            unit: planner.projected.unit(id)?,
+            step,
+            service: planner.fleet.service(&job.queue.service)?,
+            is_limited,
+        })
+    }
+
+    /// Returns the request for the whole unit.
+    pub fn request(&self, scope: Scope) -> Request<'p> {
+        Request {
+            step: self.step,
+            tasks: self.unit.tasks,
+            scope,
+            estimated_end_ms: self.planner.wall_now.saturating_add(self.step.estimate_ms),
+        }
+    }
+
     /// Finds a worker for each task in free capacity. Returns nothing unless all tasks fit.
     pub fn place(&self, request: &Request<'_>) -> Option<Vec<WorkerKey>> {
         let step = request.step;
@@ -41,7 +70,7 @@
             return place::place(request, &self.candidates(keys));
         }
         if is_ideal && step.rack_local && step.count > 1 {
-            return place::place(request, &self.candidates(self.service.workers()));
+            return place::place(request, &self.all_candidates());
         }
         self.place_anywhere(request)
     }
@@ -98,8 +127,13 @@
         (capacity > 0).then(|| (candidate.sort_key(&candidate.free), capacity))
     }
 
+    /// Returns the service's workers that may get new runs now.
+    pub fn all_candidates(&self) -> Vec<Candidate<'p>> {
+        self.candidates(self.service.workers())
+    }
+
     /// Returns those of some workers that may get new runs now.
-    pub fn candidates(&self, keys: impl IntoIterator<Item = WorkerKey>) -> Vec<Candidate<'p>> {
+    fn candidates(&self, keys: impl IntoIterator<Item = WorkerKey>) -> Vec<Candidate<'p>> {
         keys.into_iter()
             .filter_map(|key| self.candidate(key))
             .collect()
