--- a/tests/tests/flow/calm.rs
+++ b/tests/tests/flow/calm.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use oriolereel::flow::bounds::Bounds;
-use oriolereel::flow::catalog::{Account, Catalog, Queue};
+use oriolereel::flow::catalog::{Account, Catalog};
 use oriolereel::flow::job::{Amount, Spec, Step};
 use oriolereel::flow::message::{Action, Active, Answer, Ended, Report};
 use oriolereel::flow::planner::{Options, Planner};
@@ -13,7 +13,7 @@
 use oriolereel::flow::{JobId, Registry, Run, Task};
 
 use super::worker::Worker;
-use super::world::MAX_ATTEMPTS;
+use super::world::queue;
 
 /// Virtual time of one step.
 const STEP_MS: u64 = 50;
@@ -68,17 +68,6 @@
         };
         let registry = Registry::default();
         let mut planner = Planner::new(&registry, 0, Options::from(bounds));
-        let queue = |name: &str, priority| Queue {
-            name: name.to_owned(),
-            host: "h".to_owned(),
-            prefix: format!("/{name}/"),
-            service: "s".to_owned(),
-            priority,
-            max_attempts: MAX_ATTEMPTS,
-            slack_percent: 300,
-            target_ms: 1_000,
-            public: false,
-        };
         let accounts = guarantees
             .iter()
             .enumerate()
--- a/tests/tests/flow/world.rs
+++ b/tests/tests/flow/world.rs
@@ -85,6 +85,21 @@
     pub max_listed_ends: usize,
 }
 
+/// Returns a queue that is served by all workers.
+pub fn queue(name: &str, priority: u32) -> Queue {
+    Queue {
+        name: name.to_owned(),
+        host: "h".to_owned(),
+        prefix: format!("/{name}/"),
+        service: "s".to_owned(),
+        priority,
+        max_attempts: MAX_ATTEMPTS,
+        slack_percent: 300,
+        target_ms: 1_000,
+        public: false,
+    }
+}
+
 impl World {
     /// Creates a world whose workers, planner and agents keep these bounds.
     pub fn new(workers: usize, seed: u64, bounds: Bounds) -> Self {
@@ -115,17 +130,6 @@
             world.workers.push(Worker::new(machine, 1));
             world.agents.push(Agent::new(machine, 0, bounds));
         }
-        let queue = |name: &str, priority| Queue {
-            name: name.to_owned(),
-            host: "h".to_owned(),
-            prefix: format!("/{name}/"),
-            service: "s".to_owned(),
-            priority,
-            max_attempts: MAX_ATTEMPTS,
-            slack_percent: 300,
-            target_ms: 1_000,
-            public: false,
-        };
         world.planner.declare(Box::new(Catalog {
             version: 1,
             document: Bytes::new(),
