Listeners: sockets hold 32 to 256 KiB in each direction

What callers saw: nothing at first; a machine ran out of memory in its kernel. Cause: the kernel's buffers grow to several MiB for each connection with a client that sends without reading answers. Received bytes that are not read count as the process's own on the platform. Why it works: accepted connections inherit the sizes of the listener's buffers, a quarter of the largest body that the listener takes, so that a body needs a few round trips. Links have 64 KiB, which carry 4 MB/s at a round trip of 16 ms.

--- a/src/serve/listen.rs
+++ b/src/serve/listen.rs
@@ -29,6 +29,13 @@
 /// Smallest size of `hyper`'s read buffer.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// Sizes of a connection's buffers in the kernel, in bytes.
+const MIN_SOCKET_BYTES: u32 = 32 << 10;
+const MAX_SOCKET_BYTES: u32 = 256 << 10;
+
+/// Share of the largest body that these buffers hold: one in this many bytes.
+const BODY_SOCKET_SHARE: usize = 4;
+
 /// Time limit for receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -42,7 +49,11 @@
     budget: Budget,
     ready: &channel::Sender<Result<Option<SocketAddr>>>,
 ) {
-    reactor::run(Some(addr), ready, async |listener| {
+    let endpoint = reactor::Endpoint {
+        addr,
+        buffer_bytes: socket_bytes(pool.max_body_bytes()),
+    };
+    reactor::run(Some(endpoint), ready, async |listener| {
         if let Some(listener) = listener {
             tokio::spawn(expire(budget.clone()));
             accept(listener, pool, budget).await;
@@ -50,6 +61,13 @@
     });
 }
 
+/// Returns the size of a connection's buffers in the kernel: a part of the largest body, which the client
+/// sends in a few round trips then.
+fn socket_bytes(max_body_bytes: usize) -> u32 {
+    let bytes = max_body_bytes / BODY_SOCKET_SHARE;
+    (bytes as u32).clamp(MIN_SOCKET_BYTES, MAX_SOCKET_BYTES)
+}
+
 /// Closes the connections whose time is up.
 async fn expire(budget: Budget) {
     loop {
--- a/src/wire/transport.rs
+++ b/src/wire/transport.rs
@@ -18,6 +18,9 @@
 /// Maximum number of calls that wait for the transport thread.
 const QUEUE_CAPACITY: usize = 8_192;
 
+/// Size of a connection's buffers in the kernel, in bytes. At a round trip of 16 ms they carry 4 MB/s.
+const SOCKET_BYTES: u32 = 64 << 10;
+
 /// Destination of the answer to a call.
 #[derive(Debug)]
 enum Sink {
@@ -150,7 +153,11 @@
     ready: &channel::Sender<Result<Option<SocketAddr>>>,
 ) {
     let (addr, incoming) = options.listen.unzip();
-    reactor::run(addr, ready, async |listener| {
+    let endpoint = addr.map(|addr| reactor::Endpoint {
+        addr,
+        buffer_bytes: SOCKET_BYTES,
+    });
+    reactor::run(endpoint, ready, async |listener| {
         if let (Some(listener), Some(incoming)) = (listener, incoming) {
             tokio::spawn(server::accept(listener, incoming, options.limits));
         }
