Serve: a client that does not read its answers gives way

What callers saw: with every connection of a process taken by clients that send small requests and read no answers, new connections were closed without a word for as long as those clients stayed. Configurations that nobody read were kept whatever their sum. Cause: from the end of a request to the end of its answer a connection was in one state, which was never evicted and never expired. Answers were charged without a check. Requests that followed on the connection were handled before the answers to earlier ones had been written. Why it works: a connection whose answer is ready has a state of its own. A client that has not read a byte of it for 500 ms goes before idle connections, one that reads goes last; without a byte for 30 s it is closed. An answer that does not fit evicts clients that have stalled, then the largest answers. The next request of a connection waits until the answer before it is written. A request in a handler is still never evicted.

--- a/src/serve/budget.rs
+++ b/src/serve/budget.rs
@@ -195,6 +195,7 @@
             budget: self.clone(),
             key,
             evicted,
+            written: Notify::new(),
             buffer_bytes: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
             head_bytes: AtomicUsize::new(0),
@@ -219,6 +220,7 @@
             let cause = match expiry {
                 Expiry::Head => "header-timeout",
                 Expiry::Idle => "idle-timeout",
+                Expiry::Write => "write-timeout",
             };
             count(&telemetry::CONNECTIONS_CLOSED, cause);
         }
@@ -259,6 +261,8 @@
     budget: Budget,
     key: Key,
     evicted: Arc<Notify>,
+    /// Tells a request on the same connection that the answer before it has been written.
+    written: Notify,
     buffer_bytes: AtomicUsize,
     body_bytes: AtomicUsize,
     /// Bytes of an incomplete head, which are held in the read buffer.
@@ -292,10 +296,15 @@
     pub(super) fn end_head(&self) {
         self.is_in_head.store(false, Ordering::SeqCst);
         self.head_bytes.store(0, Ordering::SeqCst);
-        // The answer to an earlier request that is not written yet protects the connection.
-        if !self.is_answered.load(Ordering::SeqCst) {
-            let now_ms = clock::mono_ms();
-            self.budget.quota().end_head(self.key, now_ms);
+        let now_ms = clock::mono_ms();
+        self.budget.quota().end_head(self.key, now_ms);
+    }
+
+    /// Waits until the answer to the request before has been written, so that a client that sends
+    /// requests without reading the answers has only one of them in memory.
+    pub(super) async fn written(&self) {
+        while self.is_answered.load(Ordering::SeqCst) {
+            self.written.notified().await;
         }
     }
 
@@ -339,13 +348,21 @@
         let (now_ms, total) = (clock::mono_ms(), self.total());
         // A connection that has been evicted is closed without an answer.
         drop(self.budget.quota().complete(self.key, now_ms, total));
+        self.handled(0);
     }
 
     /// Records that the request has been handled, and charges its answer.
     pub(super) fn handled(&self, answer_bytes: usize) {
         self.body_bytes.store(answer_bytes, Ordering::SeqCst);
-        let mut quota = self.budget.quota();
-        quota.set(self.key, self.total());
+        let (now_ms, total) = (clock::mono_ms(), self.total());
+        let evicted = self.budget.quota().answer(self.key, now_ms, total);
+        self.budget.evict("answers", &evicted);
+    }
+
+    /// Records bytes of an answer that have been written while others remain.
+    pub(super) fn wrote(&self, count: usize) {
+        let now_ms = clock::mono_ms();
+        self.budget.quota().wrote(self.key, now_ms, count);
     }
 
     /// Records that an answer has been handed to the connection.
@@ -362,6 +379,8 @@
             let mut quota = self.budget.quota();
             quota.set(self.key, total);
             quota.finish(self.key, clock::mono_ms());
+            drop(quota);
+            self.written.notify_one();
         }
     }
 
--- a/src/serve/listen.rs
+++ b/src/serve/listen.rs
@@ -153,6 +153,7 @@
     ticket: Arc<Ticket>,
     request: http::Request<Incoming>,
 ) -> Response {
+    ticket.written().await;
     let guard = pool.gate().enter();
     ticket.end_head();
     let result = match read(request, pool, &ticket).await {
--- a/src/serve/meter.rs
+++ b/src/serve/meter.rs
@@ -1,4 +1,4 @@
-//! A connection's socket, which charges what is read from it.
+//! A connection's socket, which charges what is read from it and records what is written to it.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -26,6 +26,17 @@
     pub(super) fn new(stream: TcpStream, ticket: Arc<Ticket>) -> Self {
         Self { stream, ticket }
     }
+
+    /// Records the result of a write of `offered` bytes.
+    fn wrote(&self, offered: usize, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        // What is written at once needs no record, as it is flushed at once.
+        if let Poll::Ready(Ok(count)) = &result
+            && *count < offered
+        {
+            self.ticket.wrote(*count);
+        }
+        result
+    }
 }
 
 impl AsyncRead for Meter {
@@ -58,7 +69,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.wrote(buf.len(), result)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -77,7 +89,9 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let offered = bufs.iter().map(|buf| buf.len()).sum();
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.wrote(offered, result)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/serve/quota.rs
+++ b/src/serve/quota.rs
@@ -1,16 +1,16 @@
 //! Decides which connection is closed when too much has been received or too many connections are
 //! open. Has no clock and no sockets.
 //!
-//! A connection is charged for what it has received and what is not handled yet. If a charge does
-//! not fit, the slowest senders are evicted. A connection whose request has been received completely
-//! is never evicted, nor one whose answer is being written.
+//! A connection is charged for what it has received and what is not handled yet, then for its answer
+//! until that is written. If a charge does not fit, those are evicted that send or read the slowest. A
+//! connection whose request has been received completely is not evicted before the answer is ready.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
 use slotmap::SlotMap;
 
-/// Time without a byte after which a sender has stalled.
+/// Time without a byte after which a sender has stalled, or a client that does not read its answer.
 pub const STALL_MS: u64 = 500;
 
 /// Time from the start of a request in which its sender is evicted only after all others. Ordinary
@@ -20,6 +20,10 @@
 /// Number of connections where the settings name no limit.
 pub const DEFAULT_CONNECTIONS: usize = 4_096;
 
+/// Part of the limit that is freed at once where senders are evicted, one in this many bytes, since each
+/// eviction looks at all connections.
+const BATCH_SHARE: usize = 64;
+
 /// Share of the bytes that bodies leave to heads: one in this many.
 const HEAD_SHARE: usize = 16;
 
@@ -44,6 +48,9 @@
     }
 }
 
+/// Time without a byte after which a connection with an answer to write expires.
+pub const WRITE_TIMEOUT_MS: u64 = 30_000;
+
 /// Times after which a connection expires.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timeouts {
@@ -69,6 +76,7 @@
 pub enum Expiry {
     Head,
     Idle,
+    Write,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,6 +94,12 @@
     },
     /// Has received a request that is not answered yet.
     Whole,
+    /// Has an answer that is not written yet.
+    Writing {
+        since_ms: u64,
+        last_ms: u64,
+        bytes: u64,
+    },
     Evicted,
 }
 
@@ -110,6 +124,11 @@
                 last_ms,
                 bytes,
                 ..
+            }
+            | State::Writing {
+                since_ms,
+                last_ms,
+                bytes,
             } => {
                 let age_ms = now_ms.saturating_sub(since_ms);
                 let bytes_per_s = bytes.saturating_mul(1_000) / age_ms.max(1);
@@ -117,6 +136,8 @@
                     Some((0, bytes_per_s))
                 } else if age_ms >= GRACE_MS {
                     Some((2, bytes_per_s))
+                } else if self.is_writing() {
+                    Some((4, last_ms))
                 } else {
                     Some((3, last_ms))
                 }
@@ -124,10 +145,28 @@
         }
     }
 
+    /// Returns the rank of a connection among those that make room for an answer: clients that have
+    /// stalled, then the answers that are not written, the largest first.
+    fn rank_for_answer(&self, now_ms: u64) -> Option<Rank> {
+        match self.rank(now_ms)? {
+            stalled @ (0, _rate) => Some(stalled),
+            _ if self.is_writing() => Some((1, u64::MAX - self.bytes as u64)),
+            _ => None,
+        }
+    }
+
+    fn is_writing(&self) -> bool {
+        matches!(self.state, State::Writing { .. })
+    }
+
     fn expiry(&self, now_ms: u64, timeouts: &Timeouts) -> Option<Expiry> {
         let (since_ms, last_ms, in_head) = match self.state {
             State::Whole | State::Evicted => return None,
             State::Idle { since_ms } => (since_ms, since_ms, false),
+            State::Writing { last_ms, .. } => {
+                let is_over = now_ms.saturating_sub(last_ms) >= WRITE_TIMEOUT_MS;
+                return is_over.then_some(Expiry::Write);
+            }
             State::Receiving {
                 since_ms,
                 last_ms,
@@ -150,6 +189,8 @@
     /// Sums over the connections that have not been evicted.
     bytes: usize,
     connections: usize,
+    /// Sum over the connections that have been evicted and are not closed yet.
+    evicted_bytes: usize,
 }
 
 impl<T: Clone> Quota<T> {
@@ -160,9 +201,15 @@
             records: SlotMap::with_key(),
             bytes: 0,
             connections: 0,
+            evicted_bytes: 0,
         }
     }
 
+    /// Returns what the evicted connections were charged whose owners have not closed them yet.
+    pub fn evicted_bytes(&self) -> usize {
+        self.evicted_bytes
+    }
+
     /// Returns what the connections that have not been evicted are charged.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -204,9 +251,12 @@
 
     /// Removes a connection.
     pub fn close(&mut self, key: Key) {
-        if let Some(record) = self.records.remove(key)
-            && record.state != State::Evicted
-        {
+        let Some(record) = self.records.remove(key) else {
+            return;
+        };
+        if record.state == State::Evicted {
+            self.evicted_bytes -= record.bytes;
+        } else {
             self.bytes -= record.bytes;
             self.connections -= 1;
         }
@@ -255,7 +305,7 @@
                         in_head: false,
                     }
                 }
-                State::Whole | State::Evicted => {}
+                State::Whole | State::Writing { .. } | State::Evicted => {}
             }
         }
     }
@@ -288,7 +338,7 @@
 
     fn is_whole(&self, key: Key) -> bool {
         let record = self.records.get(key);
-        record.is_some_and(|record| record.state == State::Whole)
+        record.is_some_and(|record| record.state == State::Whole || record.is_writing())
     }
 
     fn charge_within(
@@ -331,16 +381,55 @@
         self.charge_body(key, now_ms, bytes)
     }
 
+    /// Records that an answer is ready, charges it, and returns the connections that are evicted for
+    /// it. It is charged even if they do not leave enough room: the others are in handlers' threads,
+    /// whose number is bounded.
+    pub fn answer(&mut self, key: Key, now_ms: u64, bytes: usize) -> Vec<T> {
+        if let Some(record) = self.records.get_mut(key)
+            && record.state != State::Evicted
+        {
+            record.state = State::Writing {
+                since_ms: now_ms,
+                last_ms: now_ms,
+                bytes: 0,
+            };
+        }
+        self.set(key, bytes);
+        let mut excess = self.bytes.saturating_sub(self.limits.bytes);
+        if excess == 0 {
+            return Vec::new();
+        }
+        let mut ranked = self.others(key, |record| record.rank_for_answer(now_ms));
+        let mut evicted = Vec::new();
+        while excess > 0
+            && let Some(Reverse((_rank, other))) = ranked.pop()
+        {
+            excess = excess.saturating_sub(self.records[other].bytes);
+            evicted.extend(self.evict(other));
+        }
+        evicted
+    }
+
+    /// Records bytes of an answer that have been written.
+    pub fn wrote(&mut self, key: Key, now_ms: u64, count: usize) {
+        if let Some(record) = self.records.get_mut(key)
+            && let State::Writing { last_ms, bytes, .. } = &mut record.state
+        {
+            *last_ms = now_ms;
+            *bytes = bytes.saturating_add(count as u64);
+        }
+    }
+
     /// Records that an answer has been written.
     pub fn finish(&mut self, key: Key, now_ms: u64) {
         if let Some(record) = self.records.get_mut(key)
-            && record.state == State::Whole
+            && matches!(record.state, State::Whole | State::Writing { .. })
         {
             record.state = State::Idle { since_ms: now_ms };
         }
     }
 
-    /// Sets what a connection is charged without a check, for an answer that must be written.
+    /// Sets what a connection is charged without a check.
     pub fn set(&mut self, key: Key, bytes: usize) {
         if let Some(record) = self.records.get_mut(key)
             && record.state != State::Evicted
@@ -363,7 +452,8 @@
             .collect()
     }
 
-    /// Evicts other connections until `excess` bytes are free; none if that is not possible.
+    /// Evicts other connections until `excess` bytes are free, and a batch of those that go before the
+    /// connection itself; none if `excess` cannot be reached.
     fn evict_for(
         &mut self,
         key: Key,
@@ -371,21 +461,22 @@
         now_ms: u64,
         excess: usize,
     ) -> Result<Vec<T>, Refusal> {
-        let others = self
-            .records
-            .iter()
-            .filter(|(other, record)| *other != key && record.bytes > 0);
-        let ranked =
-            others.filter_map(|(other, record)| Some(Reverse((record.rank(now_ms)?, other))));
-        let mut ranked: BinaryHeap<Reverse<(Rank, Key)>> = ranked.collect();
+        let mut ranked = self.others(key, |record| record.rank(now_ms));
         let mut victims = Vec::new();
         let mut freed = 0;
-        while freed < excess {
+        let wanted = excess.max(self.limits.bytes / BATCH_SHARE);
+        while freed < wanted {
             let Some(Reverse((rank, other))) = ranked.pop() else {
-                return Err(Refusal::Full);
+                if freed < excess {
+                    return Err(Refusal::Full);
+                }
+                break;
             };
             if own_rank.is_some_and(|own_rank| own_rank < rank) {
-                return Err(Refusal::Slowest);
+                if freed < excess {
+                    return Err(Refusal::Slowest);
+                }
+                break;
             }
             freed += self.records[other].bytes;
             victims.push(other);
@@ -396,10 +487,25 @@
             .collect())
     }
 
+    /// Returns the other connections that are charged and have a rank, the lowest first.
+    fn others(
+        &self,
+        key: Key,
+        rank: impl Fn(&Record<T>) -> Option<Rank>,
+    ) -> BinaryHeap<Reverse<(Rank, Key)>> {
+        let others = self
+            .records
+            .iter()
+            .filter(|(other, record)| *other != key && record.bytes > 0);
+        let ranked = others.filter_map(|(other, record)| Some(Reverse((rank(record)?, other))));
+        ranked.collect()
+    }
+
     /// Marks a connection as evicted. It no longer counts, although its owner closes it later.
     fn evict(&mut self, key: Key) -> Option<T> {
         let record = self.records.get_mut(key)?;
         record.state = State::Evicted;
+        self.evicted_bytes += record.bytes;
         self.bytes -= record.bytes;
         self.connections -= 1;
         Some(record.tag.clone())
--- a/tests/tests/serve/quota.rs
+++ b/tests/tests/serve/quota.rs
@@ -1,6 +1,6 @@
 //! Which connection is evicted, and which never is.
 
-use oriolereel::serve::quota::{Expiry, Key, Limits, Quota, Refusal, Timeouts};
+use oriolereel::serve::quota::{Expiry, Key, Limits, Quota, Refusal, Timeouts, WRITE_TIMEOUT_MS};
 
 /// Limit of the charges of all connections, in bytes.
 const MAX_BYTES: usize = 1_000;
@@ -16,6 +16,9 @@
     /// Has had its last answer so long ago.
     Idle(u64),
     Whole,
+    /// Has had an answer to read since then and read the last byte so long ago, with this many in
+    /// between.
+    Reads(u64, u64, usize),
 }
 
 struct Case {
@@ -32,6 +35,7 @@
         Past::Sends(begin, _last, _count) => NOW_MS - begin,
         Past::Idle(since) => NOW_MS - since,
         Past::Whole => NOW_MS,
+        Past::Reads(begin, _last, _count) => NOW_MS - begin,
     };
     let (key, _evicted) = quota.open(begin_ms, name).expect("room for it");
     quota.received(key, begin_ms, 1);
@@ -43,12 +47,17 @@
             quota.finish(key, begin_ms);
         }
         Past::Whole => drop(quota.complete(key, NOW_MS, bytes).expect("room for it")),
+        Past::Reads(_begin, last, count) => {
+            quota.complete(key, begin_ms, bytes).expect("room for it");
+            assert!(quota.answer(key, begin_ms, bytes).is_empty());
+            quota.wrote(key, NOW_MS - last, count);
+        }
     }
     key
 }
 
 fn cases() -> Vec<Case> {
-    use Past::{Idle, Sends, Whole};
+    use Past::{Idle, Reads, Sends, Whole};
     vec![
         Case {
             name: "a charge that fits evicts nothing",
@@ -137,6 +146,26 @@
             charge: 200,
             expected: Err(Refusal::Full),
         },
+        Case {
+            name: "a client that has stopped reading goes before an idle one",
+            connections: &[
+                ("own", Sends(0, 0, 9), 100),
+                ("idle", Idle(60_000), 400),
+                ("unread", Reads(700, 600, 300), 400),
+            ],
+            charge: 300,
+            expected: Ok(&["unread"]),
+        },
+        Case {
+            name: "a client that reads its answer goes after all senders",
+            connections: &[
+                ("own", Whole, 100),
+                ("reads", Reads(900, 10, 300), 400),
+                ("new", Sends(20, 10, 1), 400),
+            ],
+            charge: 300,
+            expected: Ok(&["new"]),
+        },
         Case {
             name: "nothing is evicted in vain",
             connections: &[
@@ -209,6 +238,81 @@
     assert_eq!(quota.connections(), 3);
 }
 
+/// Connections whose answers were not read stayed, and callers were not accepted.
+#[test]
+fn clients_that_do_not_read_their_answers_make_way_for_callers() {
+    let mut quota = Quota::new(Limits {
+        bytes: MAX_BYTES,
+        connections: 3,
+    });
+    open(&mut quota, "whole", Past::Whole, 0);
+    open(&mut quota, "unread", Past::Reads(5_000, 5_000, 1), 0);
+    open(&mut quota, "reads", Past::Reads(900, 10, 1), 0);
+    for expected in ["unread", "reads"] {
+        let (key, evicted) = quota.open(NOW_MS, "new").expect("room for it");
+        assert_eq!(evicted, Some(expected));
+        quota.complete(key, NOW_MS, 0).expect("no charge");
+    }
+}
+
+/// Answers were kept in memory whatever their sum was.
+#[test]
+fn answers_make_room_for_each_other() {
+    struct Case {
+        name: &'static str,
+        others: &'static [(&'static str, Past, usize)],
+        expected: &'static [&'static str],
+    }
+    use Past::{Idle, Reads, Sends, Whole};
+    let cases = [
+        Case {
+            name: "an answer that fits evicts nothing",
+            others: &[("unread", Reads(9_000, 9_000, 1), 500)],
+            expected: &[],
+        },
+        Case {
+            name: "those that have stalled go first",
+            others: &[
+                ("large", Reads(10, 10, 1), 300),
+                ("unread", Reads(9_000, 9_000, 1), 300),
+                ("sends", Sends(900, 10, 1), 200),
+            ],
+            expected: &["unread"],
+        },
+        Case {
+            name: "then the largest answers, before any sender",
+            others: &[
+                ("small", Reads(10, 10, 1), 200),
+                ("large", Reads(10, 10, 1), 400),
+                ("sends", Sends(900, 10, 1), 150),
+                ("idle", Idle(9_000), 150),
+            ],
+            expected: &["large"],
+        },
+        Case {
+            name: "an answer is written though there is no room",
+            others: &[("whole", Whole, 700), ("sends", Sends(900, 10, 1), 200)],
+            expected: &[],
+        },
+    ];
+    for case in cases {
+        let mut quota = Quota::new(Limits {
+            bytes: MAX_BYTES,
+            connections: 10,
+        });
+        for (name, past, bytes) in case.others {
+            open(&mut quota, name, *past, *bytes);
+        }
+        let own = open(&mut quota, "own", Whole, 10);
+        assert_eq!(
+            quota.answer(own, NOW_MS, 500),
+            case.expected,
+            "{}",
+            case.name
+        );
+    }
+}
+
 /// A request that was complete when its connection was to be evicted must either be handled and
 /// answered, or not handled at all.
 #[test]
@@ -263,6 +367,13 @@
         case("idle", Past::Idle(15_000), false, Some(Expiry::Idle)),
         case("kept open", Past::Idle(14_999), false, None),
         case("whole", Past::Whole, false, None),
+        case("answer", Past::Reads(90_000, 29_999, 1), false, None),
+        case(
+            "unread answer",
+            Past::Reads(90_000, WRITE_TIMEOUT_MS, 1),
+            false,
+            Some(Expiry::Write),
+        ),
     ];
     let timeouts = Timeouts {
         head_ms: 3_000,
