Links: answers, calls that have just begun, and bytes on their way are bounded

What callers saw: a control member ran out of memory, and then no entry had a leader, when peers opened many calls and did not take the answers. Cause: the charge of a call ended when its answer was queued in `h2`, which keeps it until the peer's window lets it go. `h2` reads all that has arrived before it hands out the first call, so thousands of calls existed before the first was charged, and each refusal looked at all calls. The windows of many links held their calls' bodies in the same way. Why it works: an answer is charged, with 4 KiB for its call, until `h2` drops its buffer. If the answers exceed an eighth of the memory, `wire::links` chooses the links whose peers have stopped reading, then those that hold most; one answer alone may exceed it. A link is read 4 KiB at a time, its calls are charged or refused before the next bytes, and no link is read while evicted calls and links still hold memory. A call ends when its peer gives it up.

--- a/src/wire.rs
+++ b/src/wire.rs
@@ -6,6 +6,8 @@
 pub mod call;
 pub mod frame;
 mod inbound;
+pub mod links;
+mod paced;
 pub mod pool;
 pub mod server;
 pub mod transport;
--- a/src/wire/inbound.rs
+++ b/src/wire/inbound.rs
@@ -1,84 +1,136 @@
-//! Bounds what other processes may use of this one: connections, and bytes of calls that have not
-//! been answered.
+//! Bounds what other processes may use of this one: connections, bytes of calls that have not been
+//! answered, and bytes of answers that have not been written.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use bytes::{Buf, Bytes};
 use tokio::sync::Notify;
 
 use crate::clock;
 use crate::notice::Notice;
 use crate::serve::quota::{Key, Limits, Quota, Refusal};
 use crate::telemetry;
+use crate::wire::links::{self, Links};
 
 /// Charge of a call for its own state, in bytes.
-const CALL_BYTES: usize = 2 << 10;
+const CALL_BYTES: usize = 4 << 10;
 
-/// Connections and calls of all peers. Both are evicted as connections of HTTP clients are.
+/// Share of the limit that evicted calls and links may still hold while more is read: one in this many
+/// bytes.
+const EVICTED_SHARE: usize = 16;
+
+/// Connections and calls of all peers.
 #[derive(Clone, Debug)]
 pub(super) struct Inbound {
-    connections: Shared,
-    calls: Shared,
+    links: Arc<Mutex<Links<Arc<Notify>>>>,
+    calls: Arc<Mutex<Quota<Arc<Notify>>>>,
+    evictions: Evictions,
+    max_evicted_bytes: usize,
 }
 
-/// A quota whose entries are told of their eviction.
-type Shared = Arc<(Mutex<Quota<Arc<Notify>>>, Notice)>;
-
 impl Inbound {
+    /// Creates the state of a process without peers. Calls and answers have a share of the same size.
     pub(super) fn new(limits: Limits) -> Self {
-        let shared = |limits| Arc::new((Mutex::new(Quota::new(limits)), Notice::default()));
         Self {
-            connections: shared(Limits {
-                bytes: usize::MAX,
-                ..limits
-            }),
+            links: Arc::new(Mutex::new(Links::new(limits))),
             // Calls are bounded by their charge alone.
-            calls: shared(Limits {
+            calls: Arc::new(Mutex::new(Quota::new(Limits {
                 connections: usize::MAX,
                 ..limits
-            }),
+            }))),
+            evictions: Evictions::default(),
+            max_evicted_bytes: limits.bytes / EVICTED_SHARE,
         }
     }
 
+    /// Reports whether the evicted calls and links have released most of what they held.
+    pub(super) fn is_settled(&self) -> bool {
+        let evicted = lock(&self.links).evicted_bytes() + lock(&self.calls).evicted_bytes();
+        evicted <= self.max_evicted_bytes
+    }
+
     /// Adds a connection, and evicts another one at the limit. Returns nothing if calls of all others
     /// are in progress.
     pub(super) fn open_connection(&self) -> Option<Link> {
-        let share = Share::open(&self.connections, "links").ok()?;
+        let evicted: Arc<Notify> = Arc::default();
+        let opened = lock(&self.links).open(clock::mono_ms(), Arc::clone(&evicted));
+        let Ok((key, other)) = opened else {
+            refuse("links");
+            return None;
+        };
+        self.evictions.report("links", other);
         Some(Link {
-            share,
-            calls: AtomicUsize::new(0),
+            links: Arc::clone(&self.links),
+            evictions: self.evictions.clone(),
+            key,
+            evicted,
         })
     }
 
     /// Adds a call.
     pub(super) fn open_call(&self) -> Result<Share, Refusal> {
-        let share = Share::open(&self.calls, "calls")?;
+        let evicted: Arc<Notify> = Arc::default();
+        let opened = lock(&self.calls).open(clock::mono_ms(), Arc::clone(&evicted));
+        let (key, _none) = opened.inspect_err(|_refusal| refuse("calls"))?;
+        let share = Share {
+            calls: Arc::clone(&self.calls),
+            evictions: self.evictions.clone(),
+            key,
+            evicted,
+        };
         share.charge(0)?;
         Ok(share)
     }
 }
 
-/// A connection of a peer. It is not evicted while calls on it are in progress.
+/// A connection of a peer.
 #[derive(Debug)]
 pub(super) struct Link {
-    pub(super) share: Share,
-    /// Calls that have been received completely.
-    calls: AtomicUsize,
+    links: Arc<Mutex<Links<Arc<Notify>>>>,
+    evictions: Evictions,
+    key: links::Key,
+    evicted: Arc<Notify>,
 }
 
 impl Link {
+    /// Waits until the connection is evicted.
+    pub(super) async fn evicted(&self) {
+        self.evicted.notified().await;
+    }
+
     /// Records that the handshake has ended.
-    pub(super) fn greeted(self: &Arc<Self>) {
-        drop(self.begin_call());
+    pub(super) fn greeted(&self) {
+        lock(&self.links).greet(self.key, clock::mono_ms());
+    }
+
+    /// Records that bytes of a call have been received.
+    pub(super) fn received(&self) {
+        lock(&self.links).received(self.key, clock::mono_ms());
     }
 
     /// Counts a call as in progress until the returned guard is dropped.
     pub(super) fn begin_call(self: &Arc<Self>) -> Guard {
-        if self.calls.fetch_add(1, Ordering::SeqCst) == 0 {
-            self.share.protect();
-        }
+        lock(&self.links).begin_call(self.key);
         Guard(Arc::clone(self))
     }
+
+    /// Charges an answer until it has been written or its connection is closed.
+    pub(super) fn queue(self: &Arc<Self>, data: Bytes) -> Answer {
+        let charge = data.len() + links::ANSWER_BYTES;
+        let evicted = lock(&self.links).queue(self.key, clock::mono_ms(), charge);
+        self.evictions.report("answers", evicted);
+        Answer {
+            data,
+            charge,
+            link: Arc::clone(self),
+        }
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        lock(&self.links).close(self.key);
+    }
 }
 
 /// A call in progress on a connection.
@@ -87,104 +139,111 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        if self.0.calls.fetch_sub(1, Ordering::SeqCst) == 1 {
-            let share = &self.0.share;
-            share.quota().finish(share.key, clock::mono_ms());
+        lock(&self.0.links).end_call(self.0.key, clock::mono_ms());
+    }
+}
+
+/// An encoded answer, which `h2` drops once it has written it.
+#[derive(Debug)]
+pub(super) struct Answer {
+    data: Bytes,
+    charge: usize,
+    link: Arc<Link>,
+}
+
+impl Buf for Answer {
+    fn remaining(&self) -> usize {
+        self.data.remaining()
+    }
+
+    fn chunk(&self) -> &[u8] {
+        self.data.chunk()
+    }
+
+    fn advance(&mut self, cnt: usize) {
+        self.data.advance(cnt);
+    }
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        lock(&self.link.links).written(self.link.key, clock::mono_ms(), self.charge);
+    }
+}
+
+/// Tells the owners of evicted connections and calls, and logs a limited number of them.
+#[derive(Clone, Debug, Default)]
+struct Evictions(Arc<Notice>);
+
+impl Evictions {
+    fn report(&self, cause: &'static str, signals: impl IntoIterator<Item = Arc<Notify>>) {
+        for signal in signals {
+            signal.notify_one();
+            let closed = &telemetry::CONNECTIONS_CLOSED;
+            closed.with_label_values(&[cause]).inc();
+            if let Some(omitted) = self.0.admit(clock::mono_ms()) {
+                log::warn!(cause = cause, omitted = omitted; "slow or idle peer evicted: the limit of {cause} is reached");
+            }
         }
     }
 }
 
-/// The share of a connection or call in its quota, which is returned when it is dropped.
+fn refuse(cause: &str) {
+    let refused = &telemetry::REQUESTS_REFUSED;
+    refused.with_label_values(&[cause]).inc();
+}
+
+/// The share of a call in the quota, which is returned when it is dropped.
 #[derive(Debug)]
 pub(super) struct Share {
-    shared: Shared,
+    calls: Arc<Mutex<Quota<Arc<Notify>>>>,
+    evictions: Evictions,
     key: Key,
     evicted: Arc<Notify>,
-    cause: &'static str,
 }
 
 impl Share {
-    fn open(shared: &Shared, cause: &'static str) -> Result<Self, Refusal> {
-        let evicted: Arc<Notify> = Arc::default();
-        let opened = lock(shared).open(clock::mono_ms(), Arc::clone(&evicted));
-        let (key, other) = opened.inspect_err(|_refusal| {
-            let refused = &telemetry::REQUESTS_REFUSED;
-            refused.with_label_values(&[cause]).inc();
-        })?;
-        let share = Self {
-            shared: Arc::clone(shared),
-            key,
-            evicted,
-            cause,
-        };
-        share.evict(other);
-        Ok(share)
-    }
-
-    /// Waits until the connection or call is evicted.
+    /// Waits until the call is evicted.
     pub(super) async fn evicted(&self) {
         self.evicted.notified().await;
     }
 
     /// Records bytes received.
     pub(super) fn received(&self, count: usize) {
-        self.quota().received(self.key, clock::mono_ms(), count);
+        lock(&self.calls).received(self.key, clock::mono_ms(), count);
     }
 
     /// Charges the bytes that are held.
     pub(super) fn charge(&self, bytes: usize) -> Result<(), Refusal> {
         let bytes = bytes.saturating_add(CALL_BYTES);
-        let result = self.quota().charge(self.key, clock::mono_ms(), bytes);
+        let result = lock(&self.calls).charge(self.key, clock::mono_ms(), bytes);
         self.settle(result)
     }
 
     /// Records that the call has been received completely, and charges the bytes that are held.
     pub(super) fn complete(&self, bytes: usize) -> Result<(), Refusal> {
         let bytes = bytes.saturating_add(CALL_BYTES);
-        let result = self.quota().complete(self.key, clock::mono_ms(), bytes);
+        let result = lock(&self.calls).complete(self.key, clock::mono_ms(), bytes);
         self.settle(result)
     }
 
-    /// Keeps the connection from being evicted. One that has been evicted is closed by its owner.
-    fn protect(&self) {
-        drop(self.quota().complete(self.key, clock::mono_ms(), 0));
-    }
-
     fn settle(&self, result: Result<Vec<Arc<Notify>>, Refusal>) -> Result<(), Refusal> {
         let evicted = result.inspect_err(|refusal| {
             if *refusal != Refusal::Evicted {
-                let refused = &telemetry::REQUESTS_REFUSED;
-                refused.with_label_values(&[self.cause]).inc();
+                refuse("calls");
             }
         })?;
-        self.evict(evicted);
+        self.evictions.report("calls", evicted);
         Ok(())
     }
-
-    fn evict(&self, signals: impl IntoIterator<Item = Arc<Notify>>) {
-        let (_quota, notice) = &*self.shared;
-        let cause = self.cause;
-        for signal in signals {
-            signal.notify_one();
-            let closed = &telemetry::CONNECTIONS_CLOSED;
-            closed.with_label_values(&[cause]).inc();
-            if let Some(omitted) = notice.admit(clock::mono_ms()) {
-                log::warn!(cause = cause, omitted = omitted; "slow or idle peer evicted: the limit of {cause} is reached");
-            }
-        }
-    }
-
-    fn quota(&self) -> MutexGuard<'_, Quota<Arc<Notify>>> {
-        lock(&self.shared)
-    }
 }
 
 impl Drop for Share {
     fn drop(&mut self) {
-        self.quota().close(self.key);
+        lock(&self.calls).close(self.key);
     }
 }
 
-fn lock(shared: &Shared) -> MutexGuard<'_, Quota<Arc<Notify>>> {
-    shared.0.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -14,7 +14,8 @@
 use crate::error;
 use crate::serve::buffer::Buffer;
 use crate::serve::quota::{Limits, Refusal};
-use crate::wire::inbound::{Inbound, Link, Share};
+use crate::wire::inbound::{Answer, Inbound, Link, Share};
+use crate::wire::paced::{Paced, Turn};
 use crate::wire::{self, Frame, call};
 
 /// Flow control window of each stream and of the whole connection, which is what a connection holds
@@ -33,6 +34,11 @@
 /// Delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+type Connection = server::Connection<Paced, Answer>;
+
+/// A call, of which the headers have been received.
+type Accepted = Result<(http::Request<h2::RecvStream>, server::SendResponse<Answer>), h2::Error>;
+
 /// Accepts connections forever and sends their calls to `calls`.
 pub async fn accept(
     listener: net::TcpListener,
@@ -66,7 +72,7 @@
     link: Arc<Link>,
 ) {
     drop(stream.set_nodelay(true));
-    unless_evicted(&link.share, serve(stream, calls, inbound, &link)).await;
+    unless_evicted(link.evicted(), serve(stream, calls, inbound, &link)).await;
 }
 
 async fn serve(
@@ -75,12 +81,13 @@
     inbound: Inbound,
     link: &Arc<Link>,
 ) {
+    let (stream, turn) = Paced::new(stream);
     let handshake = server::Builder::new()
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
         .max_header_list_size(MAX_HEADER_BYTES)
-        .handshake::<_, Bytes>(stream);
+        .handshake::<_, Answer>(stream);
     let mut connection = match time::timeout(HANDSHAKE_TIMEOUT, handshake).await {
         Ok(Ok(connection)) => connection,
         Ok(Err(err)) => {
@@ -93,17 +100,45 @@
         }
     };
     link.greeted();
-    while let Some(Ok((request, respond))) = connection.accept().await {
-        let (calls, inbound, link) = (calls.clone(), inbound.clone(), Arc::clone(link));
+    while let Some(Ok((request, mut respond))) = next(&mut connection, &turn, &inbound).await {
+        // Charged before anything is allocated for the call.
+        let share = match inbound.open_call() {
+            Ok(share) => share,
+            Err(refusal) => {
+                reply(&mut respond, &Frame::Fault(no_room(refusal)), link);
+                continue;
+            }
+        };
+        let (calls, link) = (calls.clone(), Arc::clone(link));
         tokio::spawn(async move {
-            handle_stream(request.into_body(), respond, &calls, &inbound, &link).await;
+            handle_stream(request.into_body(), respond, &calls, &share, &link).await;
         });
     }
 }
 
-/// Runs a future until it ends, or the share is evicted; the result is `None` then.
-async fn unless_evicted<T>(share: &Share, future: impl Future<Output = T>) -> Option<T> {
-    let mut evicted = pin!(share.evicted());
+/// Waits for the next call. Between two turns of reading, the other tasks of the thread run, and so
+/// they do until those that were evicted have ended.
+async fn next(connection: &mut Connection, turn: &Turn, inbound: &Inbound) -> Option<Accepted> {
+    poll_fn(|cx| {
+        if !inbound.is_settled() {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let next = pin!(connection.accept()).poll(cx);
+        if next.is_pending() && turn.renew() {
+            cx.waker().wake_by_ref();
+        }
+        next
+    })
+    .await
+}
+
+/// Runs a future until it ends, or until an eviction; the result is `None` then.
+async fn unless_evicted<T>(
+    evicted: impl Future<Output = ()>,
+    future: impl Future<Output = T>,
+) -> Option<T> {
+    let mut evicted = pin!(evicted);
     let mut future = pin!(future);
     poll_fn(|cx| {
         if evicted.as_mut().poll(cx).is_ready() {
@@ -116,32 +151,37 @@
 
 async fn handle_stream(
     body: h2::RecvStream,
-    mut respond: server::SendResponse<Bytes>,
+    mut respond: server::SendResponse<Answer>,
     calls: &channel::Sender<call::Call>,
-    inbound: &Inbound,
+    share: &Share,
     link: &Arc<Link>,
 ) {
-    let Some(answer) = answer(body, calls, inbound, link).await else {
-        respond.send_reset(h2::Reason::CANCEL);
-        return;
+    // Ends early if the peer gives the call up or its connection is closed, since what the call holds
+    // in `h2` is released only then.
+    let answered = {
+        let mut answered = pin!(answer(body, calls, share, link));
+        poll_fn(|cx| {
+            if let Poll::Ready(answer) = answered.as_mut().poll(cx) {
+                return Poll::Ready(Some(answer));
+            }
+            respond.poll_reset(cx).map(|_reset| None)
+        })
+        .await
     };
-    if let Err(err) = send(&mut respond, &answer) {
-        log::debug!("cannot send an answer: {err}");
+    match answered {
+        Some(Some(answer)) => reply(&mut respond, &answer, link),
+        Some(None) => respond.send_reset(h2::Reason::CANCEL),
+        None => {}
     }
 }
 
 async fn answer(
     body: h2::RecvStream,
     calls: &channel::Sender<call::Call>,
-    inbound: &Inbound,
+    share: &Share,
     link: &Arc<Link>,
 ) -> Option<Frame> {
-    // The share is kept until the call has been answered.
-    let share = match inbound.open_call() {
-        Ok(share) => share,
-        Err(refusal) => return Some(Frame::Fault(no_room(refusal))),
-    };
-    let received = unless_evicted(&share, receive(body, &share, link)).await;
+    let received = unless_evicted(share.evicted(), receive(body, share, link)).await;
     let received = received.unwrap_or_else(|| Err(no_room(Refusal::Evicted)));
     let _in_progress = link.begin_call();
     let frame = match received.and_then(|data| wire::decode(&data)) {
@@ -165,7 +205,7 @@
     while let Some(chunk) = body.data().await {
         let chunk = chunk.map_err(read_error)?;
         share.received(chunk.len());
-        link.share.received(chunk.len());
+        link.received();
         let Some(capacity) = buffer.capacity_with(chunk.len()) else {
             return Err(error::Error::new(
                 error::Kind::BodyTooLarge,
@@ -194,11 +234,22 @@
     )
 }
 
-fn send(respond: &mut server::SendResponse<Bytes>, answer: &Frame) -> Result<(), String> {
+fn reply(respond: &mut server::SendResponse<Answer>, answer: &Frame, link: &Arc<Link>) {
+    if let Err(err) = send(respond, answer, link) {
+        log::debug!("cannot send an answer: {err}");
+    }
+}
+
+fn send(
+    respond: &mut server::SendResponse<Answer>,
+    answer: &Frame,
+    link: &Arc<Link>,
+) -> Result<(), String> {
     let data = wire::encode(answer).or_else(|err| wire::encode(&Frame::Fault(err)));
     let data = data.map_err(|err| err.to_string())?;
     let mut stream = respond
         .send_response(http::Response::new(()), false)
         .map_err(|err| err.to_string())?;
+    let data = link.queue(data);
     stream.send_data(data, true).map_err(|err| err.to_string())
 }
--- a/tests/tests/links.rs
+++ b/tests/tests/links.rs
@@ -1,5 +1,8 @@
 //! The limits of connections and calls from other processes.
 
+#[path = "links/order.rs"]
+mod order;
+
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
