Serve: connections with many requests give way in the queue for handlers

What callers saw: beside 5,000 clients that send requests one after the other and read no answers, an ordinary request was refused with 503 each time, or its new connection closed. Cause: the queue for handler threads was first come, first served. The crowd filled it again as soon as a place was free, for as long as the sockets took its answers. Why it works: the connection with the most requests within the last second, where that is over 16, gives up its place and is closed with the refusal, which is still true: a request in the queue has not run. Without such connections the queue is as before.

A call and an answer on a link are charged 8 KiB each.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -10,6 +10,7 @@
 mod listen;
 mod meter;
 mod pool;
+pub mod queue;
 pub mod quota;
 
 use std::net::SocketAddr;
@@ -121,11 +122,29 @@
 }
 
 /// A request for a handler thread, with the channel for its answer.
+#[derive(Debug)]
 struct Exchange {
     request: Request,
     answer: oneshot::Sender<Response>,
     /// Keeps the request's charge until it has been handled, even if the client has disconnected.
     ticket: Arc<budget::Ticket>,
+    /// Number of requests of the connection within the last second.
+    recent: u32,
+}
+
+impl Exchange {
+    /// Answers that the request is not handled. A connection with many requests is closed.
+    fn refuse(self) {
+        let mut response = problem(&error::Error::new(
+            error::Kind::Overloaded,
+            "the queue of requests for handler threads is full",
+        ));
+        if self.recent > queue::USUAL_REQUESTS {
+            insert_header(&mut response, "connection", "close");
+        }
+        self.ticket.refused();
+        drop(self.answer.send(response));
+    }
 }
 
 /// Starts a server with a budget of its own, which has the default limits. See `start_within`.
--- a/src/serve/budget.rs
+++ b/src/serve/budget.rs
@@ -1,7 +1,7 @@
 //! What all HTTP connections of a process may use together: bytes that are not handled yet,
 //! descriptors and time. Several listeners share a budget.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -196,6 +196,8 @@
             key,
             evicted,
             written: Notify::new(),
+            second_ms: AtomicU64::new(0),
+            requests: AtomicU32::new(0),
             buffer_bytes: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
             head_bytes: AtomicUsize::new(0),
@@ -263,6 +265,9 @@
     evicted: Arc<Notify>,
     /// Tells a request on the same connection that the answer before it has been written.
     written: Notify,
+    /// Begin of the second in which requests are counted, and their number.
+    second_ms: AtomicU64,
+    requests: AtomicU32,
     buffer_bytes: AtomicUsize,
     body_bytes: AtomicUsize,
     /// Bytes of an incomplete head, which are held in the read buffer.
@@ -292,12 +297,19 @@
         self.budget.quota().received(self.key, now_ms, count);
     }
 
-    /// Records that the head of a request is complete.
-    pub(super) fn end_head(&self) {
+    /// Records that the head of a request is complete. Returns the number of requests of the connection
+    /// within the last second.
+    pub(super) fn end_head(&self) -> u32 {
         self.is_in_head.store(false, Ordering::SeqCst);
         self.head_bytes.store(0, Ordering::SeqCst);
         let now_ms = clock::mono_ms();
         self.budget.quota().end_head(self.key, now_ms);
+        let is_over = now_ms.saturating_sub(self.second_ms.load(Ordering::SeqCst)) >= 1_000;
+        if is_over {
+            self.second_ms.store(now_ms, Ordering::SeqCst);
+            self.requests.store(0, Ordering::SeqCst);
+        }
+        self.requests.fetch_add(1, Ordering::SeqCst) + 1
     }
 
     /// Waits until the answer to the request before has been written, so that a client that sends
--- a/src/serve/listen.rs
+++ b/src/serve/listen.rs
@@ -155,9 +155,9 @@
 ) -> Response {
     ticket.written().await;
     let guard = pool.gate().enter();
-    ticket.end_head();
+    let recent = ticket.end_head();
     let result = match read(request, pool, &ticket).await {
-        Ok(request) => dispatch(pool, request, &ticket).await,
+        Ok(request) => dispatch(pool, request, &ticket, recent).await,
         Err(err) => Err(err),
     };
     let mut response = result.unwrap_or_else(|err| {
@@ -236,13 +236,15 @@
     pool: &Arc<Pool<H>>,
     request: Request,
     ticket: &Arc<Ticket>,
+    recent: u32,
 ) -> Result<Response> {
     let (answer, answered) = oneshot::channel();
     pool.dispatch(Exchange {
         request,
         answer,
         ticket: Arc::clone(ticket),
-    })?;
+        recent,
+    });
     answered.await.map_err(|_dropped| {
         error::Error::new(
             error::Kind::Internal,
--- a/src/serve/pool.rs
+++ b/src/serve/pool.rs
@@ -1,13 +1,12 @@
 //! Pool of handler threads, which are started on demand up to a limit.
 
 use std::panic::{self, AssertUnwindSafe};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicIsize, AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 
-use crossbeam::channel;
-
 use crate::error;
+use crate::serve::queue::Queue;
 use crate::serve::{Exchange, Gate, Handler, Result, route};
 
 /// Maximum number of requests that wait for a handler thread, per thread.
@@ -21,8 +20,8 @@
 pub struct Pool<H> {
     handler: Arc<H>,
     gate: Arc<Gate>,
-    requests: channel::Sender<Exchange>,
-    queue: channel::Receiver<Exchange>,
+    queue: Mutex<Queue<Exchange>>,
+    queued: Condvar,
     max_threads: usize,
     started: AtomicUsize,
     /// Number of idle threads minus the number of queued requests.
@@ -35,12 +34,12 @@
     /// # Errors
     /// Returns `Internal` if the thread cannot be started.
     pub fn start(max_threads: usize, gate: Arc<Gate>, handler: Arc<H>) -> Result<Arc<Self>> {
-        let (requests, queue) = channel::bounded(max_threads * QUEUE_CAPACITY_PER_THREAD);
+        let queue = Queue::new(max_threads * QUEUE_CAPACITY_PER_THREAD);
         let pool = Arc::new(Self {
             handler,
             gate,
-            requests,
-            queue,
+            queue: Mutex::new(queue),
+            queued: Condvar::new(),
             max_threads,
             started: AtomicUsize::new(0),
             idle: AtomicIsize::new(0),
@@ -64,24 +63,40 @@
         self.handler.handling_factor()
     }
 
-    /// Queues a request for a handler thread, and starts another thread if none is idle.
-    ///
-    /// # Errors
-    /// Returns `Overloaded` if the queue is full.
-    pub fn dispatch(self: &Arc<Self>, exchange: Exchange) -> Result<()> {
+    /// Queues a request for a handler thread, and starts another thread if none is idle. If the queue is
+    /// full, one request is answered with `Overloaded`.
+    pub fn dispatch(self: &Arc<Self>, exchange: Exchange) {
         let idle = self.idle.fetch_sub(1, Ordering::SeqCst);
         if idle <= 0
             && let Err(err) = self.grow()
         {
             log::warn!("cannot start another handler thread: {err}");
         }
-        self.requests.try_send(exchange).map_err(|_full| {
-            self.idle.fetch_add(1, Ordering::SeqCst);
-            error::Error::new(
-                error::Kind::Overloaded,
-                "the queue of requests for handler threads is full",
-            )
-        })
+        let recent = exchange.recent;
+        let refused = self.queue().push(exchange, recent);
+        match refused {
+            Some(refused) => {
+                self.idle.fetch_add(1, Ordering::SeqCst);
+                refused.refuse();
+            }
+            None => self.queued.notify_one(),
+        }
+    }
+
+    fn queue(&self) -> MutexGuard<'_, Queue<Exchange>> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits for a request.
+    fn next(&self) -> Exchange {
+        let mut queue = self.queue();
+        loop {
+            if let Some(exchange) = queue.pop() {
+                return exchange;
+            }
+            let waited = self.queued.wait(queue);
+            queue = waited.unwrap_or_else(PoisonError::into_inner);
+        }
     }
 
     /// Starts another thread unless the pool has reached its limit.
@@ -109,12 +124,13 @@
 
     /// Answers queued requests.
     fn run(&self) {
-        for exchange in &self.queue {
+        loop {
             let Exchange {
                 request,
                 answer,
                 ticket,
-            } = exchange;
+                ..
+            } = self.next();
             // A panic costs its request, which is answered with an error, and not the thread: the pool
             // does not start another one in its place.
             let handle = || route(&self.gate, &*self.handler, &request);
--- a/src/wire/inbound.rs
+++ b/src/wire/inbound.rs
@@ -13,7 +13,7 @@
 use crate::wire::links::{self, Links};
 
 /// Charge of a call for its own state, in bytes.
-const CALL_BYTES: usize = 4 << 10;
+const CALL_BYTES: usize = 8 << 10;
 
 /// Share of the limit that evicted calls and links may still hold while more is read: one in this many
 /// bytes.
--- a/src/wire/links.rs
+++ b/src/wire/links.rs
@@ -11,7 +11,7 @@
 use crate::serve::quota::{Limits, Refusal, STALL_MS};
 
 /// Charge of an answer for the state of its call, in bytes.
-pub const ANSWER_BYTES: usize = 4 << 10;
+pub const ANSWER_BYTES: usize = 8 << 10;
 
 slotmap::new_key_type! {
     /// A link.
--- a/tests/tests/serve.rs
+++ b/tests/tests/serve.rs
@@ -4,6 +4,8 @@
 mod buffer;
 #[path = "serve/limits.rs"]
 mod limits;
+#[path = "serve/queue.rs"]
+mod queue;
 #[path = "serve/quota.rs"]
 mod quota;
 
