--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -29,7 +29,9 @@
 
 impl Lasting {
     fn tasks(&self) -> Vec<String> {
-        (0..self.count).map(|index| format!("{}.0.0.{index}", self.id)).collect()
+        (0..self.count)
+            .map(|index| format!("{}.0.0.{index}", self.id))
+            .collect()
     }
 }
 
@@ -43,7 +45,11 @@
 }
 
 /// What each minion uses at a time, by the tasks that run there.
-fn uses(events: &[Event], needs: &BTreeMap<String, Amount>, at: Instant) -> Vec<Vec<(String, Amount)>> {
+fn uses(
+    events: &[Event],
+    needs: &BTreeMap<String, Amount>,
+    at: Instant,
+) -> Vec<Vec<(String, Amount)>> {
     let mut uses: Vec<Vec<(String, Amount)>> = vec![Vec::new(); 11];
     for event in events.iter().filter(|event| event.at <= at) {
         let tasks = &mut uses[event.minion];
@@ -62,9 +68,18 @@
 fn room(events: &[Event], needs: &BTreeMap<String, Amount>, job: &Lasting, at: Instant) -> u64 {
     let uses = uses(events, needs, at).into_iter();
     let rooms = uses.map(|tasks| {
-        let own = tasks.iter().filter(|(task, _need)| task.starts_with(job.id)).count();
-        let sum = |part: fn(&Amount) -> u64| tasks.iter().map(|(_task, need)| part(need)).sum::<u64>();
-        let fits = |total: u64, used: u64, need: u64| total.saturating_sub(used).checked_div(need).unwrap_or(u64::MAX);
+        let own = tasks
+            .iter()
+            .filter(|(task, _need)| task.starts_with(job.id))
+            .count();
+        let sum =
+            |part: fn(&Amount) -> u64| tasks.iter().map(|(_task, need)| part(need)).sum::<u64>();
+        let fits = |total: u64, used: u64, need: u64| {
+            total
+                .saturating_sub(used)
+                .checked_div(need)
+                .unwrap_or(u64::MAX)
+        };
         fits(system::MINION.cpu, sum(|need| need.cpu), job.need.cpu)
             .min(fits(system::MINION.mem, sum(|need| need.mem), job.need.mem))
             .min(fits(system::MINION.gpu, sum(|need| need.gpu), job.need.gpu))
@@ -75,7 +90,12 @@
 
 /// Checks the rule LOST for tasks that last: from 6 s after its last run, a task must not have nothing
 /// running for 3 s while there is room for it twice over.
-fn check_lasting(system: &System, jobs: &[Lasting], needs: &BTreeMap<String, Amount>, until: Instant) -> Vec<String> {
+fn check_lasting(
+    system: &System,
+    jobs: &[Lasting],
+    needs: &BTreeMap<String, Amount>,
+    until: Instant,
+) -> Vec<String> {
     let events = system.fleet.events();
     let mut breaks = Vec::new();
     for job in jobs {
@@ -94,10 +114,21 @@
                 if gap < AFTER_END + NOTHING {
                     continue;
                 }
-                let times = events.iter().map(|other| other.at).filter(|other| (from..=back).contains(other));
-                let least = times.chain([from]).map(|time| room(&events, needs, job, time)).min().unwrap_or(0);
+                let times = events
+                    .iter()
+                    .map(|other| other.at)
+                    .filter(|other| (from..=back).contains(other));
+                let least = times
+                    .chain([from])
+                    .map(|time| room(&events, needs, job, time))
+                    .min()
+                    .unwrap_or(0);
                 if least >= 2 {
-                    let again = if next.is_some_and(|next| next.at <= until) { "then started again" } else { "not started again" };
+                    let again = if next.is_some_and(|next| next.at <= until) {
+                        "then started again"
+                    } else {
+                        "not started again"
+                    };
                     breaks.push(format!(
                         "LOST: task {task} had nothing running for {:.1} s after its run {} ended, {again}, while there was room for {least} such tasks or more",
                         gap.as_secs_f64(),
@@ -106,35 +137,75 @@
                 }
             }
         }
-        system.record.line(format!("job {}: the longest time without a run of a task was {:.1} s", job.id, longest.as_secs_f64()));
+        system.record.line(format!(
+            "job {}: the longest time without a run of a task was {:.1} s",
+            job.id,
+            longest.as_secs_f64()
+        ));
     }
     breaks
 }
 
 fn phase(count: usize, need: Amount, rest: &str) -> String {
-    format!("\"count\":{count},\"cpu\":{},\"memMb\":{},\"gpu\":{},{rest}", need.cpu, need.mem, need.gpu)
+    format!(
+        "\"count\":{count},\"cpu\":{},\"memMb\":{},\"gpu\":{},{rest}",
+        need.cpu, need.mem, need.gpu
+    )
 }
 
 /// A gang that cannot be placed while tasks that last run keeps one of those from being restarted.
 fn reserved(system: &System, trouble: bool) -> Result<Vec<String>, Broken> {
     let routes = [
-        Route { name: "r-plan", prefix: "/plan/", priority: 1 },
-        Route { name: "r-serve", prefix: "/serve/", priority: 2 },
+        Route {
+            name: "r-plan",
+            prefix: "/plan/",
+            priority: 1,
+        },
+        Route {
+            name: "r-serve",
+            prefix: "/serve/",
+            priority: 2,
+        },
     ];
     system.warm_up(1, &routes)?;
-    let need = Amount { cpu: 2_800, mem: 7_400, gpu: 1 };
-    let lasting = Lasting { id: "5e00000000000001", count: 4, need, most: 1 };
+    let need = Amount {
+        cpu: 2_800,
+        mem: 7_400,
+        gpu: 1,
+    };
+    let lasting = Lasting {
+        id: "5e00000000000001",
+        count: 4,
+        need,
+        most: 1,
+    };
     let body = format!(
         "{{\"spec\":\"last\",\"phases\":[{{{}}}]}}",
-        phase(4, need, "\"estimateMs\":3600000,\"antiAffinity\":1,\"longRunning\":true")
+        phase(
+            4,
+            need,
+            "\"estimateMs\":3600000,\"antiAffinity\":1,\"longRunning\":true"
+        )
     );
     system.submit(&format!("/serve/{}", lasting.id), &body)?;
-    let is_up = || lasting.tasks().iter().all(|task| system.fleet.active(task).len() == 1);
+    let is_up = || {
+        lasting
+            .tasks()
+            .iter()
+            .all(|task| system.fleet.active(task).len() == 1)
+    };
     system.until("the tasks that last run", 20, is_up)?;
     sleep(2_000);
-    let gang = Amount { cpu: 13_000, mem: 19_000, gpu: 8 };
+    let gang = Amount {
+        cpu: 13_000,
+        mem: 19_000,
+        gpu: 8,
+    };
     if trouble {
-        let body = format!("{{\"spec\":\"work=8500\",\"phases\":[{{{}}}]}}", phase(9, gang, "\"estimateMs\":8500,\"gang\":true"));
+        let body = format!(
+            "{{\"spec\":\"work=8500\",\"phases\":[{{{}}}]}}",
+            phase(9, gang, "\"estimateMs\":8500,\"gang\":true")
+        );
         system.submit("/plan/9a00000000000001", &body)?;
     }
     sleep(8_000);
@@ -144,7 +215,10 @@
     sleep(30_000);
     let until = Instant::now();
     system.client(2, "GET", &format!("/serve/{}", lasting.id), None);
-    let needs = BTreeMap::from([(lasting.id.to_owned(), need), ("9a00000000000001".to_owned(), gang)]);
+    let needs = BTreeMap::from([
+        (lasting.id.to_owned(), need),
+        ("9a00000000000001".to_owned(), gang),
+    ]);
     Ok(check_lasting(system, &[lasting], &needs, until))
 }
 
@@ -158,18 +232,42 @@
         "fa00000000000005",
         "fa00000000000006",
     ];
-    let routes = [Route { name: "r-serve", prefix: "/serve/", priority: 2 }];
+    let routes = [Route {
+        name: "r-serve",
+        prefix: "/serve/",
+        priority: 2,
+    }];
     system.warm_up(1, &routes)?;
-    let need = Amount { cpu: 13_000, mem: 19_000, gpu: 8 };
+    let need = Amount {
+        cpu: 13_000,
+        mem: 19_000,
+        gpu: 8,
+    };
     let rest = "\"estimateMs\":60000,\"longRunning\":true";
-    let mut jobs = vec![Lasting { id: "5e00000000000001", count: 1, need, most: 1 }];
-    let body = format!("{{\"spec\":\"last\",\"phases\":[{{{}}}]}}", phase(1, need, rest));
+    let mut jobs = vec![Lasting {
+        id: "5e00000000000001",
+        count: 1,
+        need,
+        most: 1,
+    }];
+    let body = format!(
+        "{{\"spec\":\"last\",\"phases\":[{{{}}}]}}",
+        phase(1, need, rest)
+    );
     system.submit("/serve/5e00000000000001", &body)?;
     for id in FAILING {
         let spec = if trouble { "last fail=3000" } else { "last" };
-        let body = format!("{{\"spec\":\"{spec}\",\"phases\":[{{{}}}]}}", phase(1, need, rest));
+        let body = format!(
+            "{{\"spec\":\"{spec}\",\"phases\":[{{{}}}]}}",
+            phase(1, need, rest)
+        );
         system.submit(&format!("/serve/{id}"), &body)?;
-        jobs.push(Lasting { id, count: 1, need, most: 1 });
+        jobs.push(Lasting {
+            id,
+            count: 1,
+            need,
+            most: 1,
+        });
     }
     sleep(60_000);
     let task = "5e00000000000001.0.0.0";
@@ -185,9 +283,17 @@
 /// A version of the configuration replaces a route by another one at the same host and prefix.
 fn renamed(system: &System, trouble: bool) -> Result<Vec<String>, Broken> {
     const JOB: &str = "1c00000000000001";
-    let route = |name| Route { name, prefix: "/plan/", priority: 1 };
+    let route = |name| Route {
+        name,
+        prefix: "/plan/",
+        priority: 1,
+    };
     system.warm_up(1, &[route("r-plan")])?;
-    let need = Amount { cpu: 2_800, mem: 7_400, gpu: 1 };
+    let need = Amount {
+        cpu: 2_800,
+        mem: 7_400,
+        gpu: 1,
+    };
     let body = format!(
         "{{\"spec\":\"work=9000\",\"phases\":[{{{}}},{{{}}},{{{}}}]}}",
         phase(2, need, "\"estimateMs\":9000"),
@@ -197,15 +303,23 @@
     let path = format!("/plan/{JOB}");
     system.submit(&path, &body)?;
     let first = format!("{JOB}.0.0.0");
-    system.until("the job runs", 10, || !system.fleet.active(&first).is_empty())?;
-    let idle = Route { name: "r-idle", prefix: "/idle/", priority: 1 };
+    system.until("the job runs", 10, || {
+        !system.fleet.active(&first).is_empty()
+    })?;
+    let idle = Route {
+        name: "r-idle",
+        prefix: "/idle/",
+        priority: 1,
+    };
     let name = if trouble { "r-plan-2" } else { "r-plan" };
     system.configure(2, &[route(name), idle])?;
     thread::sleep(system::CONFIG_APPLY + system::VISIBLE);
     let mut breaks = Vec::new();
     let read = system.client(2, "GET", &path, None);
     if read.as_ref().is_some_and(|(status, _)| *status == 410) {
-        breaks.push("LOST: the accepted job, which nobody has cancelled, was answered 410".to_owned());
+        breaks.push(
+            "LOST: the accepted job, which nobody has cancelled, was answered 410".to_owned(),
+        );
     }
     let cancelled = system.client(3, "DELETE", &path, None);
     let Some((200..=299 | 410, _)) = cancelled else {
@@ -231,15 +345,32 @@
     const JOBS: usize = 11;
     const ESTIMATE_MS: u64 = 115_000;
     const WORK_MS: u64 = 125_000;
-    let routes = [Route { name: "r-plan", prefix: "/plan/", priority: 1 }];
+    let routes = [Route {
+        name: "r-plan",
+        prefix: "/plan/",
+        priority: 1,
+    }];
     system.warm_up(1, &routes)?;
-    let need = Amount { cpu: 13_000, mem: 19_000, gpu: 5 };
-    let ids: Vec<String> = (1..=JOBS).map(|number| format!("1a000000000000{number:02}")).collect();
+    let need = Amount {
+        cpu: 13_000,
+        mem: 19_000,
+        gpu: 5,
+    };
+    let ids: Vec<String> = (1..=JOBS)
+        .map(|number| format!("1a000000000000{number:02}"))
+        .collect();
     for id in &ids {
         // Without the disruption, the data is everywhere.
-        let (near, affinity) = if trouble { (" near=r1-0", ",\"affinity\":\"r1-0\"") } else { ("", "") };
+        let (near, affinity) = if trouble {
+            (" near=r1-0", ",\"affinity\":\"r1-0\"")
+        } else {
+            ("", "")
+        };
         let rest = format!("\"estimateMs\":{ESTIMATE_MS}{affinity}");
-        let body = format!("{{\"spec\":\"work={WORK_MS}{near}\",\"phases\":[{{{}}}]}}", phase(1, need, &rest));
+        let body = format!(
+            "{{\"spec\":\"work={WORK_MS}{near}\",\"phases\":[{{{}}}]}}",
+            phase(1, need, &rest)
+        );
         system.submit(&format!("/plan/{id}"), &body)?;
     }
     // The traffic ends with these jobs; from `finish_s` on the jobs are asked for.
@@ -248,8 +379,13 @@
     sleep(60_000);
     let until = Instant::now();
     let events = system.fleet.events();
-    let stops = events.iter().filter(|event| event.end == Some("stopped")).count();
-    system.record.line(format!("{stops} runs of tasks were stopped"));
+    let stops = events
+        .iter()
+        .filter(|event| event.end == Some("stopped"))
+        .count();
+    system
+        .record
+        .line(format!("{stops} runs of tasks were stopped"));
     let needs: BTreeMap<String, Amount> = ids.iter().map(|id| (id.clone(), need)).collect();
     let mut breaks = Vec::new();
     for id in &ids {
@@ -271,7 +407,12 @@
 ) -> Vec<String> {
     let events = system.fleet.events();
     let task = format!("{id}.0.0.0");
-    let job = Lasting { id: "", count: 1, need, most: usize::MAX };
+    let job = Lasting {
+        id: "",
+        count: 1,
+        need,
+        most: usize::MAX,
+    };
     let own: Vec<&Event> = events.iter().filter(|event| event.task == task).collect();
     let mut breaks = Vec::new();
     let mut longest = Duration::ZERO;
@@ -282,13 +423,20 @@
         let since = event.at.max(from);
         let back = own.get(at + 1).map_or(until, |next| next.at.min(until));
         // The spans of the gap in which there is room and enough of the capacity is unused.
-        let times = events.iter().map(|other| other.at).filter(|time| (since..back).contains(time));
+        let times = events
+            .iter()
+            .map(|other| other.at)
+            .filter(|time| (since..back).contains(time));
         let mut times: Vec<Instant> = std::iter::once(since).chain(times).collect();
         times.sort();
         let mut start = None;
         for (index, time) in times.iter().enumerate() {
             let end = times.get(index + 1).copied().unwrap_or(back);
-            let used: u64 = uses(&events, needs, *time).iter().flatten().map(|(_task, need)| need.gpu).sum();
+            let used: u64 = uses(&events, needs, *time)
+                .iter()
+                .flatten()
+                .map(|(_task, need)| need.gpu)
+                .sum();
             if room(&events, needs, &job, *time) >= 2 && used * 2 < system::MINION.gpu * 11 {
                 let start = *start.get_or_insert(*time);
                 longest = longest.max(end.saturating_duration_since(start));
@@ -300,6 +448,9 @@
     if longest >= NOTHING {
         breaks.push(format!("LOST: job {id} had nothing running for {:.3} s, while there was room for two such tasks or more and under half of the service was in use", longest.as_secs_f64()));
     }
-    system.record.line(format!("job {id}: the longest such time was {:.3} s", longest.as_secs_f64()));
+    system.record.line(format!(
+        "job {id}: the longest such time was {:.3} s",
+        longest.as_secs_f64()
+    ));
     breaks
 }
--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -16,7 +16,9 @@
 impl Request {
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut headers = self.headers.iter();
-        headers.find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+        headers
+            .find(|(key, _)| key.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
     }
 }
 
@@ -42,7 +44,11 @@
     loop {
         let (first, headers) = head(&mut reader)?;
         let path = first.split(' ').nth(1)?.to_owned();
-        let mut request = Request { path, headers, body: String::new() };
+        let mut request = Request {
+            path,
+            headers,
+            body: String::new(),
+        };
         request.body = body(&mut reader, &request.headers)?;
         let (status, body) = handler(&request)?;
         let answer = format!(
@@ -76,7 +82,9 @@
 }
 
 fn body(reader: &mut impl Read, headers: &Headers) -> Option<String> {
-    let length = headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+    let length = headers
+        .iter()
+        .find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
     let length: usize = length.map_or(Some(0), |(_, value)| value.parse().ok())?;
     let mut bytes = vec![0; length];
     reader.read_exact(&mut bytes).ok()?;
@@ -98,11 +106,15 @@
     let start = Instant::now();
     let stream = TcpStream::connect_timeout(&addr, call.timeout).ok()?;
     let left = call.timeout.checked_sub(start.elapsed())?;
-    stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).ok()?;
+    stream
+        .set_read_timeout(Some(left.max(Duration::from_millis(1))))
+        .ok()?;
     stream.set_nodelay(true).ok()?;
     let mut writer = stream.try_clone().ok()?;
     let body = call.body.unwrap_or("");
-    let key = call.key.map_or(String::new(), |key| format!("Authorization: Token {key}\r\n"));
+    let key = call.key.map_or(String::new(), |key| {
+        format!("Authorization: Token {key}\r\n")
+    });
     let text = format!(
         "{} {} HTTP/1.1\r\nHost: {}\r\n{key}Deadline-Ms: {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
         call.method,
--- a/review/standin-3/json.rs
+++ b/review/standin-3/json.rs
@@ -14,7 +14,10 @@
 impl Json {
     /// Reads a text; nothing if it is not JSON.
     pub fn parse(text: &str) -> Option<Self> {
-        let mut reader = Reader { text: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            text: text.as_bytes(),
+            at: 0,
+        };
         let value = reader.value()?;
         reader.skip();
         (reader.at == reader.text.len()).then_some(value)
@@ -24,7 +27,10 @@
     pub fn get(&self, name: &str) -> &Json {
         const NULL: &Json = &Json::Null;
         match self {
-            Json::Table(fields) => fields.iter().find(|(key, _)| key == name).map_or(NULL, |(_, value)| value),
+            Json::Table(fields) => fields
+                .iter()
+                .find(|(key, _)| key == name)
+                .map_or(NULL, |(_, value)| value),
             _ => NULL,
         }
     }
@@ -57,7 +63,9 @@
     }
 
     fn take(&mut self, word: &str) -> Option<()> {
-        self.text[self.at..].starts_with(word.as_bytes()).then(|| self.at += word.len())
+        self.text[self.at..]
+            .starts_with(word.as_bytes())
+            .then(|| self.at += word.len())
     }
 
     fn value(&mut self) -> Option<Json> {
@@ -76,10 +84,18 @@
     /// Reads a number. Whole numbers above 2^53 (fencing tokens) are read exactly by `whole`.
     fn digits(&mut self) -> Option<Json> {
         let from = self.at;
-        while self.text.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+        while self
+            .text
+            .get(self.at)
+            .is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+        {
             self.at += 1;
         }
-        std::str::from_utf8(&self.text[from..self.at]).ok()?.parse().ok().map(Json::Number)
+        std::str::from_utf8(&self.text[from..self.at])
+            .ok()?
+            .parse()
+            .ok()
+            .map(Json::Number)
     }
 
     fn string(&mut self) -> Option<String> {
@@ -98,7 +114,8 @@
                         b't' => bytes.push(b'\t'),
                         b'r' => bytes.push(b'\r'),
                         b'u' => {
-                            let digits = std::str::from_utf8(self.text.get(self.at..self.at + 4)?).ok()?;
+                            let digits =
+                                std::str::from_utf8(self.text.get(self.at..self.at + 4)?).ok()?;
                             let code = u32::from_str_radix(digits, 16).ok()?;
                             self.at += 4;
                             let mut buffer = [0; 4];
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -21,7 +21,14 @@
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Record::new();
-    record.line(format!("case {case}, {}", if trouble { "with the disruption" } else { "without the disruption" }));
+    record.line(format!(
+        "case {case}, {}",
+        if trouble {
+            "with the disruption"
+        } else {
+            "without the disruption"
+        }
+    ));
     let started = System::start(&record);
     let result = started.and_then(|system| {
         let result = cases::run(case, &system, trouble);
--- a/review/standin-3/minion.rs
+++ b/review/standin-3/minion.rs
@@ -112,7 +112,8 @@
             let has_lapsed = life.clock_ms() > life.lease_end_ms;
             let mut ends = Vec::new();
             for (task, active) in &life.active {
-                let is_over = |time: Option<Duration>| time.is_some_and(|time| now >= active.start + time);
+                let is_over =
+                    |time: Option<Duration>| time.is_some_and(|time| now >= active.start + time);
                 let how = if active.stops_at.is_some_and(|at| now >= at) {
                     "stopped"
                 } else if has_lapsed {
@@ -133,18 +134,40 @@
                 life.close(&task, run);
                 life.last_end += 1;
                 let number = life.last_end;
-                life.ended.push(Ended { number, task: task.clone(), run, how });
-                self.events.push(Event { at: now, minion, task, run, end: Some(how) });
+                life.ended.push(Ended {
+                    number,
+                    task: task.clone(),
+                    run,
+                    how,
+                });
+                self.events.push(Event {
+                    at: now,
+                    minion,
+                    task,
+                    run,
+                    end: Some(how),
+                });
             }
         }
     }
 
     /// Carries a call out. Nothing if the minion is not up.
-    fn execute(&mut self, minion: usize, path: &str, meant: Option<&str>, body: &Json) -> Option<(u16, String)> {
+    fn execute(
+        &mut self,
+        minion: usize,
+        path: &str,
+        meant: Option<&str>,
+        body: &Json,
+    ) -> Option<(u16, String)> {
         self.advance();
         let life = self.lives[minion].as_mut()?;
         let clock_ms = life.clock_ms();
-        let refused = |reason| Some((409, format!("{{\"clockMs\":{clock_ms},\"reason\":\"{reason}\"}}")));
+        let refused = |reason| {
+            Some((
+                409,
+                format!("{{\"clockMs\":{clock_ms},\"reason\":\"{reason}\"}}"),
+            ))
+        };
         if meant.is_some_and(|id| id != id_of(minion)) {
             return Some((421, format!("{{\"clockMs\":{clock_ms}}}")));
         }
@@ -170,15 +193,33 @@
                     let spec = body.get("spec").text().unwrap_or_default();
                     let time = |name: &str| {
                         let value = spec.split(' ').find_map(|word| word.strip_prefix(name));
-                        value.and_then(|ms| ms.parse().ok()).map(Duration::from_millis)
+                        value
+                            .and_then(|ms| ms.parse().ok())
+                            .map(Duration::from_millis)
                     };
                     let start = Instant::now();
-                    let is_far = spec.split(' ').filter_map(|word| word.strip_prefix("near=")).any(|rack| rack != rack_of(minion));
-                    let work = time("work=").map(|work| if is_far { work * REMOTE_PENALTY } else { work });
+                    let is_far = spec
+                        .split(' ')
+                        .filter_map(|word| word.strip_prefix("near="))
+                        .any(|rack| rack != rack_of(minion));
+                    let work =
+                        time("work=").map(|work| if is_far { work * REMOTE_PENALTY } else { work });
                     let fail = time("fail=");
-                    let active = Active { run, start, work, fail, stops_at: None };
+                    let active = Active {
+                        run,
+                        start,
+                        work,
+                        fail,
+                        stops_at: None,
+                    };
                     life.active.insert(task.clone(), active);
-                    self.events.push(Event { at: start, minion, task, run, end: None });
+                    self.events.push(Event {
+                        at: start,
+                        minion,
+                        task,
+                        run,
+                        end: None,
+                    });
                 }
             }
             "/-/run-stop" => {
@@ -196,7 +237,10 @@
             }
             _ => return Some((404, "{}".to_owned())),
         }
-        Some((200, format!("{{\"clockMs\":{clock_ms},\"born\":{}}}", life.born)))
+        Some((
+            200,
+            format!("{{\"clockMs\":{clock_ms},\"born\":{}}}", life.born),
+        ))
     }
 
     fn lists(&self, minion: usize) -> Option<String> {
@@ -212,7 +256,10 @@
             format!("[\"{task}\",{},\"\",{percent},0]", active.run)
         });
         let ended = life.ended.iter().take(MAX_ENDED_ROWS).map(|ended| {
-            format!("[{},\"{}\",{},\"{}\",\"\"]", ended.number, ended.task, ended.run, ended.how)
+            format!(
+                "[{},\"{}\",{},\"{}\",\"\"]",
+                ended.number, ended.task, ended.run, ended.how
+            )
         });
         let join = |rows: Vec<String>| rows.join(",");
         Some(format!(
@@ -236,7 +283,10 @@
 }
 
 pub fn wall_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
 }
 
 /// All minions; clones share them.
@@ -249,7 +299,14 @@
     }
 
     /// Starts a minion that serves `app` and sends its heartbeats to `agent`.
-    pub fn start(&self, service: &str, zone: &str, app: SocketAddr, agent: SocketAddr, total: Amount) -> std::io::Result<()> {
+    pub fn start(
+        &self,
+        service: &str,
+        zone: &str,
+        app: SocketAddr,
+        agent: SocketAddr,
+        total: Amount,
+    ) -> std::io::Result<()> {
         let mut state = self.state();
         let minion = state.lives.len();
         let born = wall_ms();
@@ -266,17 +323,33 @@
         }));
         drop(state);
         let fleet = self.clone();
-        http::serve(app, Arc::new(move |request: &Request| fleet.answer(minion, request)))?;
+        http::serve(
+            app,
+            Arc::new(move |request: &Request| fleet.answer(minion, request)),
+        )?;
         let (fleet, service, zone) = (self.clone(), service.to_owned(), zone.to_owned());
         thread::spawn(move || {
             let path = format!("/-/instances/{}/heartbeat", id_of(minion));
             while let Some((sequence, clock_ms)) = fleet.beat(minion) {
                 let body = format!(
                     "{{\"service\":\"{service}\",\"address\":\"{app}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,\"capacity\":{{\"cpu\":{},\"memMb\":{},\"gpu\":{}}},\"labels\":[\"a\",\"{}\"],\"clockMs\":{clock_ms},\"sequence\":{sequence},\"born\":{born}}}",
-                    total.cpu, total.mem, total.gpu, rack_of(minion)
+                    total.cpu,
+                    total.mem,
+                    total.gpu,
+                    rack_of(minion)
                 );
                 let timeout = Duration::from_secs(1);
-                http::send(agent, &Call { method: "POST", path: &path, host: "agent", key: None, body: Some(&body), timeout });
+                http::send(
+                    agent,
+                    &Call {
+                        method: "POST",
+                        path: &path,
+                        host: "agent",
+                        key: None,
+                        body: Some(&body),
+                        timeout,
+                    },
+                );
                 thread::sleep(HEARTBEAT);
             }
         });
@@ -305,7 +378,9 @@
         loop {
             let mut state = self.state();
             state.advance();
-            let has_ended = state.lives[minion].as_ref().is_none_or(|life| !life.ended.is_empty());
+            let has_ended = state.lives[minion]
+                .as_ref()
+                .is_none_or(|life| !life.ended.is_empty());
             if has_ended || start.elapsed() >= wait {
                 return Some((200, state.lists(minion)?));
             }
@@ -324,7 +399,8 @@
         let mut state = self.state();
         state.advance();
         let lives = state.lives.iter().enumerate();
-        let lives = lives.filter_map(|(minion, life)| Some((minion, life.as_ref()?.active.get(task)?.run)));
+        let lives =
+            lives.filter_map(|(minion, life)| Some((minion, life.as_ref()?.active.get(task)?.run)));
         lives.collect()
     }
 
--- a/review/standin-3/system.rs
+++ b/review/standin-3/system.rs
@@ -32,7 +32,11 @@
 const SIDES: usize = 11;
 
 /// A minion of the site.
-pub const MINION: Amount = Amount { cpu: 32_000, mem: 65_536, gpu: 8 };
+pub const MINION: Amount = Amount {
+    cpu: 32_000,
+    mem: 65_536,
+    gpu: 8,
+};
 
 pub const HOST: &str = "orders.example";
 pub const KEY: &str = "key-of-studio";
@@ -46,7 +50,10 @@
 
 impl Record {
     pub fn new() -> Self {
-        Self { start: Instant::now(), lines: Arc::default() }
+        Self {
+            start: Instant::now(),
+            lines: Arc::default(),
+        }
     }
 
     pub fn line(&self, line: impl Into<String>) {
@@ -62,7 +69,10 @@
     pub fn write(&self, path: &Path) {
         let mut lines = self.lines.lock().expect("a record").clone();
         lines.sort_by_key(|(at, _)| *at);
-        let text: String = lines.iter().map(|(at, line)| format!("{:9.3} s  {line}\n", (*at - self.start).as_secs_f64())).collect();
+        let text: String = lines
+            .iter()
+            .map(|(at, line)| format!("{:9.3} s  {line}\n", (*at - self.start).as_secs_f64()))
+            .collect();
         fs::write(path, text).expect("a record can be written");
     }
 }
@@ -89,7 +99,9 @@
 impl System {
     /// Starts three machines with control and entry, and eleven with an agent and a minion each.
     pub fn start(record: &Record) -> Result<Self, Broken> {
-        let program = std::env::current_dir().map_err(|err| err.to_string())?.join("target/release/oriolereel-platform");
+        let program = std::env::current_dir()
+            .map_err(|err| err.to_string())?
+            .join("target/release/oriolereel-platform");
         if !program.exists() {
             return Err("target/release/oriolereel-platform is missing: build it first".to_owned());
         }
@@ -110,9 +122,17 @@
             processes.push(spawn(&program, &dir, &settings, number, "9103", "agent")?);
             let app = addr(subnet, number, APP);
             let agent = addr(subnet, number, CONTROL_PLANE);
-            fleet.start("desk", &format!("z{zone}"), app, agent, MINION).map_err(|err| err.to_string())?;
+            fleet
+                .start("desk", &format!("z{zone}"), app, agent, MINION)
+                .map_err(|err| err.to_string())?;
         }
-        Ok(Self { record: record.clone(), fleet, subnet, dir, _processes: processes })
+        Ok(Self {
+            record: record.clone(),
+            fleet,
+            subnet,
+            dir,
+            _processes: processes,
+        })
     }
 
     fn front(&self, number: u8) -> SocketAddr {
@@ -120,11 +140,34 @@
     }
 
     /// Sends a client's call to an entry, and records it.
-    pub fn client(&self, number: u8, method: &str, path: &str, body: Option<&str>) -> Option<(u16, Json)> {
+    pub fn client(
+        &self,
+        number: u8,
+        method: &str,
+        path: &str,
+        body: Option<&str>,
+    ) -> Option<(u16, Json)> {
         let timeout = Duration::from_secs(3);
-        let answer = http::send(self.front(number), &Call { method, path, host: HOST, key: Some(KEY), body, timeout });
-        let shown = answer.as_ref().map_or("no answer".to_owned(), |(status, body)| format!("{status} {body}"));
-        self.record.line(format!("client at entry {number}: {method} {path} {} -> {shown}", body.unwrap_or("")));
+        let answer = http::send(
+            self.front(number),
+            &Call {
+                method,
+                path,
+                host: HOST,
+                key: Some(KEY),
+                body,
+                timeout,
+            },
+        );
+        let shown = answer
+            .as_ref()
+            .map_or("no answer".to_owned(), |(status, body)| {
+                format!("{status} {body}")
+            });
+        self.record.line(format!(
+            "client at entry {number}: {method} {path} {} -> {shown}",
+            body.unwrap_or("")
+        ));
         let (status, body) = answer?;
         Some((status, Json::parse(&body).unwrap_or(Json::Null)))
     }
@@ -141,7 +184,8 @@
     /// Sends a configuration until it is acknowledged, as the operator does.
     pub fn configure(&self, version: u64, routes: &[Route<'_>]) -> Result<Instant, Broken> {
         let body = configuration(version, routes);
-        self.record.line(format!("operator sends version {version}: {body}"));
+        self.record
+            .line(format!("operator sends version {version}: {body}"));
         let mut number = 0;
         self.until(&format!("version {version} is acknowledged"), 30, || {
             number = number % CORES as u8 + 1;
@@ -156,7 +200,8 @@
             let answer = http::send(addr(self.subnet, number, CONTROL_PLANE), &call);
             answer.is_some_and(|(status, _)| status == 200)
         })?;
-        self.record.line(format!("version {version} is acknowledged"));
+        self.record
+            .line(format!("version {version} is acknowledged"));
         Ok(Instant::now())
     }
 
@@ -175,7 +220,12 @@
     }
 
     /// Waits until a condition holds.
-    pub fn until(&self, what: &str, seconds: u64, mut condition: impl FnMut() -> bool) -> Result<(), Broken> {
+    pub fn until(
+        &self,
+        what: &str,
+        seconds: u64,
+        mut condition: impl FnMut() -> bool,
+    ) -> Result<(), Broken> {
         let start = Instant::now();
         while !condition() {
             if start.elapsed() > Duration::from_secs(seconds) {
@@ -189,8 +239,16 @@
     /// Adds what the minions have run to the record.
     pub fn record_runs(&self) {
         for event in self.fleet.events() {
-            let what = event.end.map_or("starts".to_owned(), |end| format!("ends {end}:"));
-            self.record.line_at(event.at, format!("minion {}: {what} {} run {}", event.minion, event.task, event.run));
+            let what = event
+                .end
+                .map_or("starts".to_owned(), |end| format!("ends {end}:"));
+            self.record.line_at(
+                event.at,
+                format!(
+                    "minion {}: {what} {} run {}",
+                    event.minion, event.task, event.run
+                ),
+            );
         }
     }
 
@@ -199,7 +257,11 @@
         drop(fs::remove_dir_all(to));
         drop(fs::create_dir_all(to));
         for entry in fs::read_dir(&self.dir).into_iter().flatten().flatten() {
-            if entry.path().extension().is_some_and(|extension| extension == "log") {
+            if entry
+                .path()
+                .extension()
+                .is_some_and(|extension| extension == "log")
+            {
                 drop(fs::copy(entry.path(), to.join(entry.file_name())));
             }
         }
@@ -243,8 +305,22 @@
     let id = std::process::id();
     let is_free = |subnet: (u8, u8)| {
         let numbers = (1..=CORES as u8).chain(11..11 + SIDES as u8);
-        let ports = [FRONT, READINESS, CONTROL_PLANE, APP, 7_000, 7_001, 9_101, 9_102, 9_103];
-        numbers.into_iter().all(|number| ports.iter().all(|port| TcpListener::bind(addr(subnet, number, *port)).is_ok()))
+        let ports = [
+            FRONT,
+            READINESS,
+            CONTROL_PLANE,
+            APP,
+            7_000,
+            7_001,
+            9_101,
+            9_102,
+            9_103,
+        ];
+        numbers.into_iter().all(|number| {
+            ports
+                .iter()
+                .all(|port| TcpListener::bind(addr(subnet, number, *port)).is_ok())
+        })
     };
     let subnets = (0..20).map(|step| ((100 + (id / 250 + step) % 100) as u8, (1 + id % 250) as u8));
     let mut free = subnets.filter(|subnet| is_free(*subnet));
@@ -255,7 +331,9 @@
 fn settings(dir: &Path, subnet: (u8, u8), number: u8, zone: u8) -> Result<PathBuf, Broken> {
     let is_core = usize::from(number) <= CORES;
     let ip = addr(subnet, number, 1).ip();
-    let seeds: Vec<String> = (1..=CORES as u8).map(|core| format!("\"{}\"", addr(subnet, core, CONTROL_PLANE))).collect();
+    let seeds: Vec<String> = (1..=CORES as u8)
+        .map(|core| format!("\"{}\"", addr(subnet, core, CONTROL_PLANE)))
+        .collect();
     let data = dir.join(format!("data-{number}"));
     let own = if is_core {
         format!(
@@ -276,7 +354,14 @@
     Ok(path)
 }
 
-fn spawn(program: &Path, dir: &Path, settings: &Path, number: u8, metrics: &str, role: &str) -> Result<Process, Broken> {
+fn spawn(
+    program: &Path,
+    dir: &Path,
+    settings: &Path,
+    number: u8,
+    metrics: &str,
+    role: &str,
+) -> Result<Process, Broken> {
     let log: File = OpenOptions::new()
         .create(true)
         .append(true)
