--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -14,6 +14,8 @@
         "quarantined" => quarantined(system, trouble),
         "renamed" => renamed(system, trouble),
         "stalled" => stalled(system, trouble),
+        "unstarted" => unstarted(system, trouble),
+        "pending" => pending(system, trouble),
         _ => Err(format!("no case {case:?}")),
     }
 }
@@ -390,23 +392,28 @@
     let mut breaks = Vec::new();
     for id in &ids {
         system.client(2, "GET", &format!("/plan/{id}"), None);
-        breaks.extend(check_finish(system, id, need, &needs, from, until));
+        breaks.extend(check_finish(
+            system,
+            &format!("{id}.0.0.0"),
+            need,
+            &needs,
+            (from, until),
+        ));
     }
     Ok(breaks)
 }
 
-/// Checks the rule LOST for a job of one task that is asked for: for 3 s, it must not have nothing running
-/// while there is room for it twice over and under half of the service's capacity is in use.
+/// Checks the rule LOST for a task whose job is asked for: for 3 s, it must not have nothing running while its
+/// turn has come, there is room for it twice over and under half of the service's capacity is in use. All other
+/// tasks of its job are done by then.
 fn check_finish(
     system: &System,
-    id: &str,
+    task: &str,
     need: Amount,
     needs: &BTreeMap<String, Amount>,
-    from: Instant,
-    until: Instant,
+    (from, until): (Instant, Instant),
 ) -> Vec<String> {
     let events = system.fleet.events();
-    let task = format!("{id}.0.0.0");
     let job = Lasting {
         id: "",
         count: 1,
@@ -414,15 +421,21 @@
         most: usize::MAX,
     };
     let own: Vec<&Event> = events.iter().filter(|event| event.task == task).collect();
-    let mut breaks = Vec::new();
-    let mut longest = Duration::ZERO;
-    for (at, event) in own.iter().enumerate() {
-        if event.end.is_none() {
-            continue;
+    // The spans in which it has nothing running and is not done.
+    let mut idle = Vec::new();
+    let mut since = Some(from);
+    for event in &own {
+        match event.end {
+            None => idle.extend(since.take().map(|since| (since, event.at))),
+            Some("done") => since = None,
+            Some(_) => since = Some(event.at.max(from)),
         }
-        let since = event.at.max(from);
-        let back = own.get(at + 1).map_or(until, |next| next.at.min(until));
-        // The spans of the gap in which there is room and enough of the capacity is unused.
+    }
+    idle.extend(since.map(|since| (since, until)));
+    let mut longest = Duration::ZERO;
+    for (since, back) in idle {
+        let back = back.min(until);
+        // The parts in which there is room and enough of the capacity is unused.
         let times = events
             .iter()
             .map(|other| other.at)
@@ -445,12 +458,158 @@
             }
         }
     }
-    if longest >= NOTHING {
-        breaks.push(format!("LOST: job {id} had nothing running for {:.3} s, while there was room for two such tasks or more and under half of the service was in use", longest.as_secs_f64()));
-    }
+    let seconds = longest.as_secs_f64();
     system.record.line(format!(
-        "job {id}: the longest such time was {:.3} s",
-        longest.as_secs_f64()
+        "task {task}: the longest such time was {seconds:.3} s"
     ));
-    breaks
+    if longest < NOTHING {
+        return Vec::new();
+    }
+    vec![format!(
+        "LOST: task {task} had nothing running for {seconds:.3} s, while there was room for two such tasks or more and under half of the service was in use"
+    )]
+}
+
+/// A task that was placed on a minion while this was unhealthy is never started.
+fn unstarted(system: &System, trouble: bool) -> Result<Vec<String>, Broken> {
+    const JOB: &str = "1e00000000000001";
+    const UNHEALTHY: usize = 4;
+    const LIMIT: Duration = Duration::from_millis(6_500);
+    let routes = [Route {
+        name: "r-plan",
+        prefix: "/plan/",
+        priority: 1,
+    }];
+    system.warm_up(1, &routes)?;
+    let start = Instant::now();
+    if trouble {
+        system
+            .record
+            .line(format!("minion {UNHEALTHY} becomes unhealthy"));
+        system.fleet.set_unhealthy(UNHEALTHY, true);
+    }
+    let need = Amount {
+        cpu: 2_800,
+        mem: 7_400,
+        gpu: 1,
+    };
+    let rest = phase(11, need, "\"estimateMs\":2000,\"antiAffinity\":1");
+    let body = format!("{{\"spec\":\"work=2000\",\"phases\":[{{{rest}}}]}}");
+    let path = format!("/plan/{JOB}");
+    system.submit(&path, &body)?;
+    thread::sleep((start + LIMIT).saturating_duration_since(Instant::now()));
+    if trouble {
+        system
+            .record
+            .line(format!("minion {UNHEALTHY} is healthy again"));
+        system.fleet.set_unhealthy(UNHEALTHY, false);
+    }
+    // The traffic ended with this job; from `finish_s` on the jobs are asked for.
+    thread::sleep(system::FINISH);
+    let from = Instant::now();
+    sleep(45_000);
+    let until = Instant::now();
+    system.client(2, "GET", &path, None);
+    let needs = BTreeMap::from([(JOB.to_owned(), need)]);
+    let tasks = (0..11).map(|index| format!("{JOB}.0.0.{index}"));
+    Ok(tasks
+        .flat_map(|task| check_finish(system, &task, need, &needs, (from, until)))
+        .collect())
+}
+
+/// Jobs that wait are not counted, as their runs were once placed on a minion that did not start them.
+fn pending(system: &System, trouble: bool) -> Result<Vec<String>, Broken> {
+    const LIMIT: Duration = Duration::from_millis(6_500);
+    const JOBS: usize = 8;
+    let routes = [
+        Route {
+            name: "r-plan",
+            prefix: "/plan/",
+            priority: 1,
+        },
+        Route {
+            name: "r-serve",
+            prefix: "/serve/",
+            priority: 0,
+        },
+    ];
+    system.warm_up(1, &routes)?;
+    let whole = Amount {
+        cpu: 13_000,
+        mem: 19_000,
+        gpu: 8,
+    };
+    let serve = |id: &str, count: usize| {
+        let rest = "\"estimateMs\":3600000,\"antiAffinity\":1,\"longRunning\":true";
+        let body = format!(
+            "{{\"spec\":\"last\",\"phases\":[{{{}}}]}}",
+            phase(count, whole, rest)
+        );
+        system.submit(&format!("/serve/{id}"), &body)
+    };
+    serve("5e00000000000001", 10)?;
+    let is_up = |task: &str| system.fleet.active(task).len() == 1;
+    system.until("the tasks that last run", 20, || {
+        (0..10).all(|index| is_up(&format!("5e00000000000001.0.0.{index}")))
+    })?;
+    let Some(last) = (0..11).find(|minion| system.fleet.tasks_on(*minion).is_empty()) else {
+        return Err("no minion is empty".to_owned());
+    };
+    let start = Instant::now();
+    if trouble {
+        system
+            .record
+            .line(format!("minion {last} becomes unhealthy"));
+        system.fleet.set_unhealthy(last, true);
+    }
+    let need = Amount {
+        cpu: 1_500,
+        mem: 2_000,
+        gpu: 1,
+    };
+    let ids: Vec<String> = (1..=JOBS)
+        .map(|number| format!("1b000000000000{number:02}"))
+        .collect();
+    for id in &ids {
+        let body = format!(
+            "{{\"spec\":\"work=8000\",\"phases\":[{{{}}}]}}",
+            phase(1, need, "\"estimateMs\":8000")
+        );
+        system.submit(&format!("/plan/{id}"), &body)?;
+    }
+    sleep(1_000);
+    serve("5e00000000000002", 1)?;
+    thread::sleep((start + LIMIT).saturating_duration_since(Instant::now()));
+    if trouble {
+        system
+            .record
+            .line(format!("minion {last} is healthy again"));
+        system.fleet.set_unhealthy(last, false);
+    }
+    system.until("the urgent job runs", 20, || {
+        is_up("5e00000000000002.0.0.0")
+    })?;
+    sleep(15_000);
+    for id in &ids {
+        system.client(1, "GET", &format!("/plan/{id}"), None);
+    }
+    let mut breaks = Vec::new();
+    for number in 1..=3 {
+        let answer = system.client(number, "GET", "/plan/", None);
+        let events = system.fleet.events();
+        let has_begun = |id: &&String| {
+            events
+                .iter()
+                .any(|event| event.task.starts_with(id.as_str()))
+        };
+        let waiting = ids.iter().filter(|id| !has_begun(id)).count() as u64;
+        let Some(pending) = answer.and_then(|(_status, body)| body.get("pending").number()) else {
+            return Err("no answer to the question for the waiting jobs".to_owned());
+        };
+        system.record.line(format!("{waiting} jobs accepted more than 5 s ago have not begun, entry {number} gives {pending}"));
+        if pending * 2 < waiting {
+            breaks.push(format!("MIXED: entry {number} gives {pending} jobs as pending, but {waiting} have not begun"));
+        }
+    }
+    Ok(breaks)
 }
--- a/review/standin-3/minion.rs
+++ b/review/standin-3/minion.rs
@@ -101,6 +101,8 @@
     events: Vec<Event>,
     /// Tasks whose current run fails now.
     failing: BTreeSet<String>,
+    /// Minions that are unhealthy: they answer each start with 503, and do nothing.
+    unhealthy: BTreeSet<usize>,
 }
 
 impl State {
@@ -176,6 +178,9 @@
             return refused("fence");
         }
         life.token = token;
+        if path == "/-/run-start" && self.unhealthy.contains(&minion) {
+            return Some((503, format!("{{\"clockMs\":{clock_ms}}}")));
+        }
         let task = body.get("taskId").text().unwrap_or_default().to_owned();
         let run = body.get("runId").number().unwrap_or(0);
         match path {
@@ -394,6 +399,16 @@
         self.state().failing.insert(task.to_owned());
     }
 
+    /// Lets a minion be unhealthy, or healthy again.
+    pub fn set_unhealthy(&self, minion: usize, unhealthy: bool) {
+        let mut state = self.state();
+        if unhealthy {
+            state.unhealthy.insert(minion);
+        } else {
+            state.unhealthy.remove(&minion);
+        }
+    }
+
     /// Returns the minions on which a task is active, with its run.
     pub fn active(&self, task: &str) -> Vec<(usize, u64)> {
         let mut state = self.state();
