--- a/review/standin-3/minion.rs
+++ b/review/standin-3/minion.rs
@@ -103,6 +103,8 @@
     failing: BTreeSet<String>,
     /// Minions that are unhealthy: they answer each start with 503, and do nothing.
     unhealthy: BTreeSet<usize>,
+    /// Minions that answer nothing and carry nothing out.
+    hanging: BTreeSet<usize>,
 }
 
 impl State {
@@ -372,6 +374,12 @@
         if request.path == "/healthz" {
             return Some((200, "{}".to_owned()));
         }
+        if self.is_hanging(minion) {
+            while self.is_hanging(minion) {
+                thread::sleep(CHECK);
+            }
+            return None;
+        }
         let body = Json::parse(&request.body)?;
         let meant = request.header("expect-instance");
         let (status, answer) = self.state().execute(minion, &request.path, meant, &body)?;
@@ -409,6 +417,20 @@
         }
     }
 
+    /// Lets a minion hang, or answer again.
+    pub fn set_hanging(&self, minion: usize, hanging: bool) {
+        let mut state = self.state();
+        if hanging {
+            state.hanging.insert(minion);
+        } else {
+            state.hanging.remove(&minion);
+        }
+    }
+
+    fn is_hanging(&self, minion: usize) -> bool {
+        self.state().hanging.contains(&minion)
+    }
+
     /// Returns the minions on which a task is active, with its run.
     pub fn active(&self, task: &str) -> Vec<(usize, u64)> {
         let mut state = self.state();
