Agent: a run that was given up stays so until its end is known

Cause: an agent that gives a run up stops it and reports it as absent once a listing that was requested after that does not show it. The leader wants the run until then, so its next reply, each 0.5 s, does not name it among the runs to stop, and on_orders dropped every removal that the reply did not name. The worker refuses a run that was stopped, so the start was sent again, refused, stopped, and so on. Regular listings, held for 1 s, came too late. The same holds for a start that is refused for any reason, and for runs withdrawn from draining workers and evacuated domains. Evidence: a simulated agent with a reply each 0.5 s sent 120 starts and 120 stops in 60 s and never reported the run. Change: a removal whose stop was sent outlives replies that still want the run, unless the run is active on the worker. Why it works: the worker refuses the run from the stop on, so its absence is the only way in which its end can become known, and the leader places the task anew when it is reported. Tests, failing before: flow::refused::a_refused_run_becomes_known_as_absent_while_the_leader_wants_it (all ten rows), flow::refused::a_run_that_was_given_up_is_not_started_again. flow::refused::a_run_that_goes_on_... holds before too: a stop that did not reach a run that goes on is still withdrawn. flow::evacuation::an_agent_withdraws_only_what_its_worker_has_not_accepted asked for the start of a run whose stop the worker had confirmed, which the worker must refuse.

--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -53,6 +53,8 @@
 /// A run that should not be active on the worker.
 #[derive(Clone, Copy, Debug, Default)]
 struct Removal {
+    /// Whether a call to stop the run has been made. The worker may refuse the run from then on.
+    is_sent: bool,
     /// Whether a call to stop the run has not been answered yet.
     in_flight: bool,
     /// Time at which the worker confirmed the stop.
@@ -253,7 +255,13 @@
         for run in &stops {
             self.removals.entry(*run).or_default();
         }
-        self.removals.retain(|run, _removal| stops.contains(run));
+        // A run that the worker may refuse is still to be found absent, unless it goes on there.
+        let listed = self.listing.iter().flat_map(|listing| &listing.active);
+        let active: BTreeSet<Run> = listed.map(|active| active.run).collect();
+        self.removals.retain(|run, removal| {
+            let is_final = removal.is_sent && wanted.contains(run) && !active.contains(run);
+            is_final || stops.contains(run)
+        });
         self.absent
             .retain(|run| stops.contains(run) || wanted.contains(run));
         self.due_effects(now)
@@ -494,6 +502,7 @@
                 continue;
             }
             removal.in_flight = true;
+            removal.is_sent = true;
             effects.push(Effect::Stop(Stop {
                 worker: worker.clone(),
                 run: *run,
