Flow: jobs are found by their queue's place, whatever its name

Cause: Planner::request looked a job up only if the name of the request's queue was that of the job's queue. Callers know host, prefix and id. A submission that was sent again was refused for the same reason, and `pending` counted by name. Evidence: in a leader with two catalogs in turn, reads and cancels at the same place return UnknownJob after a renaming. Change: Catalog::continues decides whether a queue has the jobs of an earlier one: by the place, or by the name if nothing is at the earlier place any more, as the queue has moved then. Read, cancel, resend and pending use it. Why it works: a queue's place is unique in a catalog, so each job belongs to one queue at most, and to the one that its callers address as long as there is one. Looked at without the same cause: quotas and guarantees (by account), the operator's interface (by id). Learned durations stay under the queue's name; another key would let members of two builds disagree about the log.

--- a/examples/flows.rs
+++ b/examples/flows.rs
@@ -211,7 +211,11 @@
 
     /// Returns the number of jobs none of whose tasks has been placed.
     fn waiting(&self) -> usize {
-        self.registry.pending("urgent") + self.registry.pending("later")
+        let queues = &self.registry.catalog().queues;
+        queues
+            .iter()
+            .map(|queue| self.registry.pending(queue))
+            .sum()
     }
 
     /// Ends the stopped runs and the oldest run, as their agents would report them.
--- a/src/flow/catalog.rs
+++ b/src/flow/catalog.rs
@@ -26,6 +26,13 @@
     pub public: bool,
 }
 
+impl Queue {
+    /// Reports whether callers address both queues by the same host and path prefix.
+    pub fn is_at_place_of(&self, other: &Self) -> bool {
+        self.host == other.host && self.prefix == other.prefix
+    }
+}
+
 /// A client account.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Account {
@@ -75,6 +82,17 @@
         Some((queue, parse_route(&path[queue.prefix.len()..])))
     }
 
+    /// Reports whether a queue of this catalog has the jobs that were accepted in a queue of an earlier one.
+    /// Callers know a queue only by its place, so its name may change. The name decides once nothing is at
+    /// the earlier place, as the queue has moved then.
+    pub fn continues(&self, queue: &Queue, earlier: &Queue) -> bool {
+        let has_moved = || {
+            let mut queues = self.queues.iter();
+            queue.name == earlier.name && !queues.any(|other| other.is_at_place_of(earlier))
+        };
+        queue.is_at_place_of(earlier) || has_moved()
+    }
+
     /// Finds the account to which a key belongs.
     pub fn account_of(&self, key: &str) -> Option<&Account> {
         let mut accounts = self.accounts.iter();
--- a/src/flow/planner.rs
+++ b/src/flow/planner.rs
@@ -247,14 +247,18 @@
             return (Answer::Unauthorized, false);
         }
         let account = account.map_or(String::new(), |account| account.name.clone());
-        let queue = queue.clone();
+        let job = match route {
+            Some(Route::Job(id)) => self.projected.job(id),
+            _ => None,
+        };
+        let is_same_queue = job.is_some_and(|job| catalog.continues(queue, &job.queue));
+        let is_known = job.is_some();
         match (route, action) {
             (Some(Route::Queue), Action::Read) => {
-                (Answer::Pending(registry.pending(&queue.name) as u64), false)
+                (Answer::Pending(registry.pending(queue) as u64), false)
             }
             (Some(Route::Job(id)), Action::Submit(spec)) => {
-                if let Some(job) = self.projected.job(id) {
-                    let is_same_queue = job.queue.name == queue.name;
+                if is_known {
                     let is_committed = registry.job(id).is_some();
                     let answer = if is_same_queue {
                         Answer::Accepted
@@ -272,24 +276,21 @@
                     "job accepted with {} steps", spec.steps.len());
                 let accepted = Accepted {
                     id,
-                    queue,
+                    queue: queue.clone(),
                     account,
                     spec: *spec,
                 };
                 self.push(Command::Accept(Box::new(accepted)));
                 (Answer::Accepted, true)
             }
-            (Some(Route::Job(id)), action) => match self.projected.job(id) {
-                Some(job) if job.queue.name == queue.name => match action {
-                    Action::Cancel => {
-                        log::info!(job:% = format_args!("{id:016x}"); "job cancelled by its caller");
-                        self.push(Command::Cancel { job: id });
-                        (Answer::Cancelled, true)
-                    }
-                    _ => (self.state(registry, id), false),
-                },
-                _ => (Answer::UnknownJob, false),
-            },
+            (Some(Route::Job(id)), Action::Cancel) if is_same_queue => {
+                log::info!(job:% = format_args!("{id:016x}"); "job cancelled by its caller");
+                self.push(Command::Cancel { job: id });
+                (Answer::Cancelled, true)
+            }
+            (Some(Route::Job(id)), Action::Read) if is_same_queue => {
+                (self.state(registry, id), false)
+            }
             _ => (Answer::UnknownJob, false),
         }
     }
--- a/src/flow/registry.rs
+++ b/src/flow/registry.rs
@@ -361,9 +361,9 @@
     }
 
     /// Returns the number of open jobs of a queue none of whose tasks has ever been placed.
-    pub fn pending(&self, queue: &str) -> usize {
+    pub fn pending(&self, queue: &catalog::Queue) -> usize {
         let open = self.jobs.values().filter(|job| job.state == State::Open);
-        open.filter(|job| job.queue.name == queue && !job.started)
+        open.filter(|job| !job.started && self.catalog.continues(queue, &job.queue))
             .count()
     }
 
