Agent: a listing requested right after a stop counts

A task that a worker had refused was known to be absent only 1.1 s after that, with a listing at hand that showed it. Change: the confirmation's time is that from which on requested listings show the worker after the stop: the millisecond itself, or the next one if a listing was requested in it before. Why it works: the core sees each request and each confirmation in order, so a listing from before the stop never has that time.

--- a/src/flow/agent.rs
+++ b/src/flow/agent.rs
@@ -58,7 +58,7 @@
     is_sent: bool,
     /// Whether a call to stop the run has not been answered yet.
     in_flight: bool,
-    /// Time at which the worker confirmed the stop.
+    /// Time from which on requested listings show the worker after the stop, once it has confirmed that.
     confirmed_ms: Option<Millis>,
     next_attempt_ms: Millis,
 }
@@ -103,6 +103,8 @@
     listing: Option<Listing>,
     /// Time at which the call that returned the listing was sent.
     listed_ms: Millis,
+    /// Latest time at which a listing was requested.
+    requested_ms: Millis,
     /// Time at which the last listing arrived.
     last_response_ms: Millis,
     /// Time at which the last listing arrived; unlike the one above, a suspension does not move it.
@@ -150,6 +152,7 @@
             fence_expired: false,
             listing: None,
             listed_ms: 0,
+            requested_ms: 0,
             last_response_ms: 0,
             identified_ms: 0,
             wanted: BTreeSet::new(),
@@ -271,6 +274,7 @@
     /// Returns the next call for the lists of the worker or of a candidate.
     pub fn list(&mut self, now: Millis, wait_ms: Millis) -> Option<List> {
         self.check_clock(now);
+        self.requested_ms = self.requested_ms.max(now);
         if self.token == 0 {
             return None;
         }
@@ -405,7 +409,8 @@
         if let Some(removal) = self.removals.get_mut(&run) {
             removal.in_flight = false;
             if confirmed {
-                removal.confirmed_ms = Some(now);
+                // A listing that was requested in this millisecond may be from before the stop.
+                removal.confirmed_ms = Some(now.max(self.requested_ms + 1));
             }
             removal.next_attempt_ms = now
                 + if is_urgent {
--- a/tests/tests/flow/refused.rs
+++ b/tests/tests/flow/refused.rs
@@ -286,3 +286,28 @@
     assert_eq!(setup.core.on_orders(lost_ms, lost_ms, orders), []);
     assert_eq!(setup.core.due_effects(lost_ms + 300), []);
 }
+
+// Guards against a second without a run after each refusal: the listing that was requested right after the stop had
+// the same time in milliseconds as its confirmation and did not count.
+#[test]
+fn a_listing_requested_right_after_a_stop_shows_that_the_run_is_absent() {
+    let mut setup = Setup::new(Outcome::NoCapacity);
+    setup.lists_after_stops = true;
+    let known_ms = setup.advance(PLACED_MS, PLACED_MS + 60_000);
+    assert_eq!(known_ms, Some(PLACED_MS));
+}
+
+#[test]
+fn a_listing_requested_in_the_same_millisecond_before_the_confirmation_shows_nothing() {
+    let mut setup = Setup::new(Outcome::NoCapacity);
+    let orders = setup.orders();
+    let mut effects = setup.core.on_orders(PLACED_MS, PLACED_MS - 10, orders);
+    assert!(matches!(effects.pop(), Some(Effect::Start(_))));
+    let mut effects = setup.core.on_started(PLACED_MS, run(), Outcome::NoCapacity);
+    assert!(matches!(effects.pop(), Some(Effect::Stop(_))));
+    let list = setup.core.list(PLACED_MS, 0).expect("a call to the worker");
+    setup.core.on_stopped(PLACED_MS, run(), true);
+    setup.answer(PLACED_MS + 1, PLACED_MS, &list);
+    let report = setup.core.report(PLACED_MS + 2).expect("a report");
+    assert_eq!(report.absent, []);
+}
