Flow: a worker that has refused a run is chosen after the others

A task that a worker refuses with 503 was placed there again every 5 s, with another worker empty, until the first one recovered. Change: a report of an absent run that the log still wants, of a worker that may get runs, marks the worker like a recent failure until a run has succeeded there. It is not quarantined for that. Why it works: the next pass ranks other workers with room before it; where there are none, it is tried again.

--- a/src/flow/planner.rs
+++ b/src/flow/planner.rs
@@ -99,6 +99,8 @@
     /// Different jobs that have failed on the worker since a run last succeeded there or the worker
     /// was last quarantined for failures.
     failed_jobs: Vec<JobId>,
+    /// Whether the worker has refused a run that it should have started, since one last succeeded there.
+    has_refused: bool,
     quarantined_until_ms: Millis,
     quarantine_count: u32,
 }
@@ -136,7 +138,7 @@
     /// Latest time on the wall clock.
     wall_now: Millis,
     observations: BTreeMap<WorkerKey, Observation>,
-    /// Workers with a recent failure.
+    /// Workers with a recent failure or refusal.
     failing: BTreeSet<WorkerKey>,
     claims: BTreeMap<UnitId, Claim>,
     departures: drain::Table,
--- a/src/flow/planner/report.rs
+++ b/src/flow/planner/report.rs
@@ -214,6 +214,10 @@
         if !self.is_assigned(key, run) {
             return;
         }
+        // A worker that may get no runs has refused this one for that.
+        if end == End::Absent && self.projected.is_wanted(key, run) && self.is_usable(key) {
+            self.record_refusal(key);
+        }
         let observation = self.observations.get(&key);
         let progress = observation.and_then(|observation| observation.progress.get(&run));
         let checkpoint = progress.map(|progress| progress.checkpoint.clone());
--- a/src/flow/planner/watch.rs
+++ b/src/flow/planner/watch.rs
@@ -92,14 +92,21 @@
         observation.is_some_and(|observation| self.now < observation.quarantined_until_ms)
     }
 
-    /// Reports whether a run has failed on a worker since the last success or quarantine for failures.
+    /// Reports whether a run has failed on a worker, or was refused by it, since the last success or quarantine
+    /// for failures.
     pub(super) fn has_recent_failure(&self, key: WorkerKey) -> bool {
-        self.observations
-            .get(&key)
-            .is_some_and(|observation| !observation.failed_jobs.is_empty())
+        self.failing.contains(&key)
     }
 
-    /// Returns the workers with a recent failure.
+    /// Records that a worker was to start a run and never did, so that others are chosen before it.
+    pub(super) fn record_refusal(&mut self, key: WorkerKey) {
+        if let Some(observation) = self.observations.get_mut(&key) {
+            observation.has_refused = true;
+            self.failing.insert(key);
+        }
+    }
+
+    /// Returns the workers with a recent failure or refusal.
     pub(super) fn failing_workers(&self) -> impl Iterator<Item = WorkerKey> {
         self.failing.iter().copied()
     }
@@ -113,6 +120,7 @@
         match end {
             End::Done => {
                 observation.failed_jobs.clear();
+                observation.has_refused = false;
                 observation.quarantine_count = 0;
             }
             End::Failed if !observation.failed_jobs.contains(&run.task.job) => {
@@ -120,7 +128,7 @@
             }
             _ => {}
         }
-        if observation.failed_jobs.is_empty() {
+        if observation.failed_jobs.is_empty() && !observation.has_refused {
             self.failing.remove(&key);
         } else {
             self.failing.insert(key);
@@ -128,6 +136,7 @@
         if observation.failed_jobs.len() >= QUARANTINE_FAILED_JOBS {
             self.failing.remove(&key);
             observation.failed_jobs.clear();
+            observation.has_refused = false;
             let doublings = observation.quarantine_count.min(MAX_QUARANTINE_DOUBLINGS);
             observation.quarantine_count += 1;
             observation.quarantined_until_ms = now + (QUARANTINE_MS << doublings);
--- a/tests/tests/flow.rs
+++ b/tests/tests/flow.rs
@@ -33,6 +33,8 @@
 mod queues;
 #[path = "flow/refused.rs"]
 mod refused;
+#[path = "flow/refusing.rs"]
+mod refusing;
 #[path = "flow/shapes.rs"]
 mod shapes;
 #[path = "flow/worker.rs"]
