Flow: tasks that last free no workers for a reservation

Cause: workers are reserved for a gang from the time at which enough runs will have ended by their estimates. Tasks that last were counted with their callers' estimate, an hour, though they run until their job is cancelled. The restart's own estimate ends after that time, so each reserved worker refused it, and the reservation was renewed in each pass. Change: only runs that end by themselves, or are being stopped, count. Without enough of them nothing is reserved. Why it works: a reservation keeps workers for a time that can be foreseen; there is none for a gang that waits for tasks that last. Tests, failing before: flow::lasting::a_task_that_lasts_is_started_again_while_a_gang_waits_for_others_that_last (0 tasks active, now 1), flow::lasting::a_gang_that_waits_for_tasks_that_last_keeps_no_worker_empty.

--- a/src/flow/planner/reserve.rs
+++ b/src/flow/planner/reserve.rs
@@ -91,7 +91,7 @@
         (capacity >= tasks).then_some(free)
     }
 
-    /// Returns the estimated ends of all runs, the earliest first.
+    /// Returns the estimated ends of all runs but those that last, the earliest first.
     fn ends(&self, context: &mut Context) -> Rc<Vec<RunEnd>> {
         if let Some(ends) = &context.ends {
             return Rc::clone(ends);
@@ -108,6 +108,10 @@
             let Some(running) = &state.running else {
                 continue;
             };
+            // A task that lasts runs until its job is cancelled, which nobody can foresee.
+            if step.long_running && running.stop.is_none() {
+                continue;
+            }
             let first = UnitId { first: 0, ..unit };
             let (_step, expected_ms) = match last {
                 Some(known) if known.0 == first => known,
--- a/tests/tests/flow.rs
+++ b/tests/tests/flow.rs
@@ -15,6 +15,8 @@
 mod ends;
 #[path = "flow/evacuation.rs"]
 mod evacuation;
+#[path = "flow/lasting.rs"]
+mod lasting;
 #[path = "flow/leader.rs"]
 mod leader;
 #[path = "flow/leaving.rs"]
