Flow: a task that lasts is restarted also where workers are reserved

Cause: a worker that is reserved from some time on refuses every run that is expected to end later, also the restart of a task that was at work there just before. Change: a unit that lasts and has run before is placed as if nothing were reserved. Its first start keeps to reservations. Why it works: the gang's reservation counts on workers that the task held when it was made, and is renewed in the same pass without it.

--- a/src/flow/planner/search.rs
+++ b/src/flow/planner/search.rs
@@ -47,11 +47,18 @@
 
     /// Returns the request for the whole unit.
     pub fn request(&self, scope: Scope) -> Request<'p> {
+        // A task that lasts and was at work must be again, so no reservation may lie before its end.
+        let is_restart = self.step.long_running && self.unit.last_run > 0;
+        let estimated_end_ms = if is_restart {
+            self.planner.wall_now
+        } else {
+            self.planner.end_if_placed_ms(self.id)
+        };
         Request {
             step: self.step,
             tasks: self.unit.tasks,
             scope,
-            estimated_end_ms: self.planner.end_if_placed_ms(self.id),
+            estimated_end_ms,
         }
     }
 
--- a/tests/tests/flow/lasting.rs
+++ b/tests/tests/flow/lasting.rs
@@ -73,3 +73,20 @@
     calm.advance(RESTART_MS);
     assert_eq!(calm.active(long), 1);
 }
+
+// Guards against a task that lasts and stays down until the runs for which a gang waits have ended.
+#[test]
+fn a_task_that_lasts_is_started_again_on_workers_that_are_reserved() {
+    let mut calm = Calm::new(5, &[0]);
+    let failing = submit(&mut calm, 1, 5_000, lasting);
+    submit(&mut calm, 2, 60_000, |_step| {});
+    let gang = submit(&mut calm, 4, 10_000, gang);
+    calm.advance(4_000);
+    assert_eq!((calm.active(failing), calm.active(gang)), (1, 0));
+    calm.advance(1_000 + RESTART_MS);
+    assert_eq!((calm.active(failing), calm.active(gang)), (1, 0));
+    // Others keep to the reservation.
+    let long = submit(&mut calm, 1, LASTING_MS, |_step| {});
+    calm.advance(RESTART_MS);
+    assert_eq!(calm.active(long), 0);
+}
