Flow: a run is stalled only after a multiple of its expected pace

Cause: a run with an estimate under 120 s counted as stalled once its percentage, a whole number, had not risen for 2.5 s. A run of 125 s that takes three times as long away from its data rises each 3.75 s. Neither the distance nor slow workers nor rough estimates were allowed for. Change: the time is eight times that in which the run should rise by one per cent, by its estimate and whether it is away from its data, plus the age that a report may have; at least the former 2.5 s, or 4.5 s at the start. Estimates of up to 12 s (4 s away from the data) are judged as before. Why it works: a sound run rises faster than that unless it is more than eight times slower than estimated; the watch for slow workers compares those with a fresh run elsewhere.

--- a/src/flow/planner/watch.rs
+++ b/src/flow/planner/watch.rs
@@ -3,16 +3,22 @@
 use std::collections::BTreeSet;
 
 use crate::estimate::Source;
+use crate::flow::job::Step;
 use crate::flow::message::{Active, Report};
 use crate::flow::planner::{Planner, Progress};
 use crate::flow::registry::{Cause, End, Running};
 use crate::flow::{Millis, Run, UnitId, WorkerKey};
 use crate::telemetry;
 
-/// Time without progress after which a run counts as stalled. Progress is reported in whole per
+/// Shortest time without progress after which a run counts as stalled. Progress is reported in whole per
 /// cent: a run of ten minutes advances only every six seconds, so long runs are not watched.
 const STALL_TIMEOUT_MS: Millis = 2_500;
 
+/// Factor on the time in which a run should advance by one per cent, after which it counts as stalled. It
+/// covers rough estimates and workers that are up to eight times slower; these are left to the watch
+/// for slow workers.
+const STALL_FACTOR: Millis = 8;
+
 /// Estimated duration from which on a run is not watched for progress and never counts as stalled.
 const MAX_WATCHED_ESTIMATE_MS: Millis = 120_000;
 
@@ -188,6 +194,9 @@
         {
             return None;
         }
+        let workers = workers_of(running);
+        let percent_ms = self.percent_ms(step, estimate_ms, &workers);
+        let stall_ms = percent_ms * STALL_FACTOR + MAX_REPORT_AGE_MS;
         let all_stalled = running
             .members
             .iter()
@@ -197,12 +206,24 @@
                     task: id.task(position as u32),
                     number: unit.last_run,
                 };
-                self.is_stalled(member.worker, run)
+                self.is_stalled(member.worker, run, stall_ms)
             });
-        all_stalled.then(|| workers_of(running))
+        all_stalled.then_some(workers)
+    }
+
+    /// Returns the time in which a run on these workers should advance by one per cent.
+    fn percent_ms(&self, step: &Step, estimate_ms: Millis, workers: &[WorkerKey]) -> Millis {
+        let is_remote = self.projected.is_remote(step, workers);
+        let place_percent = if is_remote {
+            self.options.bounds.remote_percent.max(100)
+        } else {
+            100
+        };
+        estimate_ms.saturating_mul(place_percent) / 100 / 100
     }
 
-    fn is_stalled(&self, key: WorkerKey, run: Run) -> bool {
+    /// Reports whether a run has not advanced on a worker for a time, which is `stall_ms` at least.
+    fn is_stalled(&self, key: WorkerKey, run: Run, stall_ms: Millis) -> bool {
         let Some(observation) = self.observations.get(&key) else {
             return false;
         };
@@ -214,7 +235,7 @@
             } else {
                 STALL_TIMEOUT_MS
             };
-            observation.listed_ms >= progress.advanced_ms + limit_ms
+            observation.listed_ms >= progress.advanced_ms + limit_ms.max(stall_ms)
         };
         is_fresh && observation.progress.get(&run).is_some_and(has_stalled)
     }
--- a/src/flow/registry/learn.rs
+++ b/src/flow/registry/learn.rs
@@ -50,22 +50,18 @@
         }
         let members = running.members.iter();
         let workers: BTreeSet<WorkerKey> = members.map(|member| member.worker).collect();
+        let workers: Vec<WorkerKey> = workers.into_iter().collect();
         Some(Finished {
             unit: id,
             key: key(job, id.step),
             caller_ms: step.estimate_ms,
             run_ms: now.saturating_sub(running.placed_ms),
             excluded: self.exclusion(step, unit, &workers),
-            workers: workers.into_iter().collect(),
+            workers,
         })
     }
 
-    fn exclusion(
-        &self,
-        step: &Step,
-        unit: &Unit,
-        workers: &BTreeSet<WorkerKey>,
-    ) -> Option<Outcome> {
+    fn exclusion(&self, step: &Step, unit: &Unit, workers: &[WorkerKey]) -> Option<Outcome> {
         const FIRST_RUN: u32 = 1;
         if !unit.checkpoint.is_empty() {
             return Some(Outcome::Resumed);
@@ -77,7 +73,7 @@
     }
 
     /// Reports whether a run on these workers is away from its data or spread over racks.
-    fn is_remote(&self, step: &Step, workers: &BTreeSet<WorkerKey>) -> bool {
+    pub fn is_remote(&self, step: &Step, workers: &[WorkerKey]) -> bool {
         let racks: BTreeSet<(&str, &str)> = workers
             .iter()
             .filter_map(|key| self.workers.get(key))
--- a/tests/tests/flow.rs
+++ b/tests/tests/flow.rs
@@ -39,6 +39,8 @@
 mod refusing;
 #[path = "flow/shapes.rs"]
 mod shapes;
+#[path = "flow/stalls.rs"]
+mod stalls;
 #[path = "flow/worker.rs"]
 mod worker;
 #[path = "flow/world.rs"]
