--- a/src/flow/agent/absence.rs
+++ b/src/flow/agent/absence.rs
@@ -9,7 +9,7 @@
 const UNREADABLE_MARGIN_MS: Millis = 300;
 
 impl Core {
-    /// Marks runs as absent whose stop was confirmed before the listing was requested, and that appear
+    /// Marks runs as absent whose stop was confirmed before the listing was requested and that appear
     /// neither among the active nor among the ended runs. A row that could not be read may stand for
     /// a run that is still stopping, so the time of a stop must have passed as well then. While there are
     /// ends that are not listed, one of them may be the run's.
--- a/src/flow/agent/release.rs
+++ b/src/flow/agent/release.rs
@@ -5,8 +5,8 @@
 use crate::flow::{Millis, Run};
 
 impl Core {
-    /// Returns a queued call as it is to be sent now, with the current token and lease; `None` if it has
-    /// become pointless. What is due in place of it is among `due_effects` then.
+    /// Returns a queued call as it is to be sent now, with the current token and lease; `None` if it is not
+    /// needed any more. What is due in place of it is among the next `due_effects` then.
     pub fn release(&mut self, now: Millis, effect: Effect) -> Option<Effect> {
         self.check_clock(now);
         match effect {
@@ -32,7 +32,8 @@
             if let Some(order) = order {
                 order.in_flight = false;
             }
-            log::info!(job:% = format_args!("{:016x}", run.task.job), run = run.number; "queued start withheld");
+            log::info!(job:% = format_args!("{:016x}", run.task.job), run = run.number, wanted = is_waiting,
+                needed = is_needed, leased = expires_ms.is_some(); "queued start withheld");
             return None;
         };
         self.record_lease(now);
--- a/src/flow/planner/reserve.rs
+++ b/src/flow/planner/reserve.rs
@@ -91,7 +91,8 @@
         (capacity >= tasks).then_some(free)
     }
 
-    /// Returns the estimated ends of all runs but those that last, the earliest first.
+    /// Returns the estimated ends of all runs, the earliest first. Of those that last, only the ones that
+    /// are being stopped have an end.
     fn ends(&self, context: &mut Context) -> Rc<Vec<RunEnd>> {
         if let Some(ends) = &context.ends {
             return Rc::clone(ends);
@@ -108,7 +109,7 @@
             let Some(running) = &state.running else {
                 continue;
             };
-            // A task that lasts runs until its job is cancelled, which nobody can foresee.
+            // The others run until their job is cancelled, which nobody can foresee.
             if step.long_running && running.stop.is_none() {
                 continue;
             }
@@ -117,7 +118,12 @@
                 Some(known) if known.0 == first => known,
                 _ => *last.insert((first, self.expected_ms(unit))),
             };
-            let end_ms = self.run_end_ms(unit, state.last_run, running, expected_ms);
+            let end_ms = if step.long_running {
+                let stop_ms = self.options.bounds.stop_ms;
+                self.wall_now.saturating_add(stop_ms)
+            } else {
+                self.run_end_ms(unit, state.last_run, running, expected_ms)
+            };
             for member in running.members.iter().filter(|member| member.end.is_none()) {
                 ends.push((end_ms, member.worker, step.per_task));
             }
--- a/tests/tests/flow/calm.rs
+++ b/tests/tests/flow/calm.rs
@@ -171,6 +171,16 @@
         id
     }
 
+    /// Cancels a job without guarantee.
+    pub fn cancel(&mut self, id: JobId) {
+        let (job, _at) = self.jobs[&id];
+        let (path, key) = (format!("/later/{id:016x}"), format!("k{}", job.account));
+        let (answer, _waits) =
+            self.planner
+                .request(&self.registry, "h", &path, Some(&key), Action::Cancel);
+        assert_eq!(answer, Answer::Cancelled);
+    }
+
     /// Returns how many accelerators an account's open urgent jobs need.
     pub fn demand(&self, account: usize) -> u64 {
         let is_open = |id: &JobId| {
--- a/tests/tests/flow/lasting.rs
+++ b/tests/tests/flow/lasting.rs
@@ -90,3 +90,16 @@
     calm.advance(RESTART_MS);
     assert_eq!(calm.active(long), 0);
 }
+
+// A task that lasts and is being stopped is counted among the runs for which a gang waits.
+#[test]
+fn a_gang_starts_once_tasks_that_last_are_cancelled() {
+    let mut calm = Calm::new(4, &[0]);
+    let others = submit(&mut calm, 2, 600_000, lasting);
+    let gang = submit(&mut calm, 3, 10_000, gang);
+    calm.advance(RESTART_MS);
+    assert_eq!(calm.active(gang), 0);
+    calm.cancel(others);
+    calm.advance(RESTART_MS);
+    assert_eq!((calm.active(others), calm.active(gang)), (0, 3));
+}
