--- a/tests/tests/flow/agent.rs
+++ b/tests/tests/flow/agent.rs
@@ -9,8 +9,8 @@
 
 use super::worker::Worker;
 
-/// Returns a run of a task of job 1.
-fn run() -> Run {
+/// Returns the first run of a task of job 1.
+pub fn run() -> Run {
     Run {
         task: Task {
             job: 1,
--- a/tests/tests/flow/evacuation.rs
+++ b/tests/tests/flow/evacuation.rs
@@ -12,11 +12,12 @@
 use oriolereel::flow::message::{self, Active, Poll, Start};
 use oriolereel::flow::planner::{Options, Planner};
 use oriolereel::flow::registry::{Info, State};
-use oriolereel::flow::{Command, Registry, Run, Task, WorkerKey, ticket};
+use oriolereel::flow::{Command, Registry, Run, WorkerKey, ticket};
 use oriolereel::ledger::Ledger;
 use proptest::prelude::*;
 
 use super::action::Action;
+use super::agent::run;
 use super::calm::{Calm, Job};
 use super::worker::Worker;
 use super::world::{Agent, World};
@@ -106,18 +107,6 @@
     }
 }
 
-fn run() -> Run {
-    Run {
-        task: Task {
-            job: 1,
-            occurrence: 0,
-            step: 0,
-            index: 0,
-        },
-        number: 1,
-    }
-}
-
 /// An agent whose worker is settled and has not accepted a run, as every start is left unanswered.
 fn agent_with_order(has_run: bool) -> (Core, Worker, message::Orders, Vec<Effect>) {
     let mut worker = Worker::new(0, 1);
--- a/tests/tests/flow/queued.rs
+++ b/tests/tests/flow/queued.rs
@@ -5,25 +5,14 @@
 use oriolereel::flow::message::{Active, Ended, Orders, Start};
 use oriolereel::flow::planner::Options;
 use oriolereel::flow::registry::End;
-use oriolereel::flow::{Run, Task, WorkerKey};
+use oriolereel::flow::{Run, WorkerKey};
 
+use super::agent::run;
 use super::worker::Worker;
 
 /// Time at which the start of the run is queued.
 const QUEUED_MS: u64 = 1_070;
 
-fn run() -> Run {
-    Run {
-        task: Task {
-            job: 1,
-            occurrence: 0,
-            step: 0,
-            index: 0,
-        },
-        number: 1,
-    }
-}
-
 /// An agent that has queued the start of a run.
 struct Setup {
     core: Core,
--- a/tests/tests/flow/refused.rs
+++ b/tests/tests/flow/refused.rs
@@ -5,8 +5,9 @@
 use oriolereel::flow::bounds::{Bounds, MAX_LIST_WAIT_MS};
 use oriolereel::flow::message::{Active, Orders, Start};
 use oriolereel::flow::planner::Options;
-use oriolereel::flow::{Run, Task, WorkerKey};
+use oriolereel::flow::{Run, WorkerKey};
 
+use super::agent::run;
 use super::worker::Worker;
 
 /// Interval of the leader's replies, none of which names the run as one to stop.
@@ -22,18 +23,6 @@
 /// Time that the attempts to start a run may take beyond that if none is answered clearly.
 const ATTEMPTS_MS: u64 = 4_000;
 
-fn run() -> Run {
-    Run {
-        task: Task {
-            job: 1,
-            occurrence: 0,
-            step: 0,
-            index: 0,
-        },
-        number: 1,
-    }
-}
-
 /// An agent whose worker answers each start with one outcome, confirms each stop, and holds each listing
 /// for as long as it is asked to.
 struct Setup {
